--- a/cmd/camphorhead/main.go
+++ b/cmd/camphorhead/main.go
@@ -13,12 +13,8 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
-	"github.com/jonboulle/clockwork"
 
-	"camphorhead.example/camphorhead/process/agent"
-	"camphorhead.example/camphorhead/process/entry"
 	"camphorhead.example/camphorhead/process/event"
-	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/process/settings"
 )
 
@@ -32,8 +28,11 @@
 // version is set by the linker in releases.
 var version = "dev"
 
+// settingsEnv names the settings file where no option does.
+const settingsEnv = "CAMPHORHEAD_NODE_FILE"
+
 type options struct {
-	Settings string        `short:"s" long:"settings" description:"settings file (TOML)" value-name:"FILE"`
+	Settings string        `short:"s" long:"settings" env:"CAMPHORHEAD_NODE_FILE" description:"settings file (TOML)" value-name:"FILE"`
 	Grace    time.Duration `long:"grace" default:"30s" description:"time for requests in progress when the process is told to stop"`
 	Version  bool          `long:"version" description:"print the version and exit"`
 }
@@ -56,7 +55,7 @@
 		return exitOK
 	}
 	if opts.Settings == "" {
-		fmt.Fprintln(os.Stderr, "camphorhead: --settings is required")
+		fmt.Fprintln(os.Stderr, "camphorhead: --settings or "+settingsEnv+" is required")
 		return exitSettings
 	}
 	cfg, err := settings.Load(opts.Settings)
@@ -74,7 +73,7 @@
 }
 
 func serve(cfg settings.Settings, opts options) int {
-	log, err := event.New(os.Stderr, cfg.Log.Format, cfg.Log.Level)
+	log, err := event.New(os.Stdout, cfg.Log.Format, cfg.Log.Level)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "camphorhead:", err)
 		return exitSettings
@@ -82,15 +81,24 @@
 	p := cfg.Process
 	log = log.ForProcess(p.ID, string(cfg.Role), p.Region, p.FailureDomain)
 	log.Emit(event.ProcessStarting, "version", buildVersion(), "file", opts.Settings)
+	boundMemory(cfg, log)
 
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	process := newRole(cfg, log)
 	if err := process.Start(ctx); err != nil {
 		log.Emit(event.ListenFailed, "address", p.Listen, "error", err)
 		return exitFailure
 	}
-	<-ctx.Done()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-reload:
+			log.Emit(event.SettingsReloaded, "file", opts.Settings)
+		}
+	}
 	grace, cancel := context.WithTimeout(context.Background(), opts.Grace)
 	defer cancel()
 	if err := process.Stop(grace); err != nil {
@@ -100,14 +108,19 @@
 	return exitOK
 }
 
-func newRole(cfg settings.Settings, log event.Logger) role {
-	clock := clockwork.NewRealClock()
-	if cfg.Role == settings.RoleAgent {
-		return agent.New(cfg, agent.Deps{Clock: clock, Log: log, Worker: platform.NewHTTPWorker(cfg.Worker.URL)})
+// memoryShare is the part of the memory of the settings that the runtime aims
+// at; the rest covers what it does not count.
+const memoryShare = 0.6
+
+// boundMemory makes the runtime collect garbage earlier as its memory nears
+// the bound of the settings.
+func boundMemory(cfg settings.Settings, log event.Logger) {
+	if cfg.Limits.MemoryMB == 0 {
+		return
 	}
-	return entry.New(cfg, entry.Deps{
-		Clock: clock, Log: log, Store: platform.NewHTTPStore(cfg.Store.URL), Delays: entry.DefaultDelays(),
-	})
+	bound := int64(memoryShare * float64(cfg.Limits.MemoryMB<<20))
+	debug.SetMemoryLimit(bound)
+	log.Emit(event.MemoryBound, "bytes", bound)
 }
 
 func buildVersion() string {
--- /dev/null
+++ b/cmd/camphorhead/roles.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"strings"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/valyala/fasthttp"
+
+	"camphorhead.example/camphorhead/connection/message"
+	adapter "camphorhead.example/camphorhead/platform"
+	"camphorhead.example/camphorhead/process/agent"
+	"camphorhead.example/camphorhead/process/boottime"
+	"camphorhead.example/camphorhead/process/entry"
+	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/platform"
+	"camphorhead.example/camphorhead/process/settings"
+	"camphorhead.example/camphorhead/process/term"
+)
+
+// newRole wires the role of the settings to the protocols that they name.
+func newRole(cfg settings.Settings, log event.Logger) role {
+	if cfg.Role == settings.RoleAgent {
+		return agent.New(cfg, agentDeps(cfg, log))
+	}
+	return entry.New(cfg, entryDeps(cfg, log))
+}
+
+func agentDeps(cfg settings.Settings, log event.Logger) agent.Deps {
+	if cfg.Worker.Protocol != settings.ProtocolPlatform {
+		return agent.Deps{Clock: clockwork.NewRealClock(), Log: log, Worker: platform.NewHTTPWorker(cfg.Worker.URL)}
+	}
+	store := adapter.NewStore(addressOf(cfg.Store.URL))
+	return agent.Deps{
+		Clock: boottime.New(), Log: log, Runner: adapter.NewWorker(addressOf(cfg.Worker.URL)),
+		ReadLeader: func(ctx context.Context) (message.Leader, error) {
+			view, err := term.Read(ctx, store)
+			return message.Leader{Term: view.Term, Address: view.Holder.Address}, err
+		},
+		Registry: func(a *agent.Agent) fasthttp.RequestHandler {
+			return adapter.RegistryHandler(a, cfg.Worker.Service)
+		},
+	}
+}
+
+func entryDeps(cfg settings.Settings, log event.Logger) entry.Deps {
+	if cfg.Store.Protocol != settings.ProtocolPlatform {
+		return entry.Deps{
+			Clock: clockwork.NewRealClock(), Log: log, Store: platform.NewHTTPStore(cfg.Store.URL),
+			Delays: entry.DefaultDelays(),
+		}
+	}
+	return entry.Deps{
+		Clock: boottime.New(), Log: log, Delays: entry.DefaultDelays(),
+		Records: adapter.NewStore(addressOf(cfg.Store.URL)),
+		Manifest: entry.ManifestSource{
+			Key: adapter.ManifestKey, Prefix: adapter.ManifestPrefix, Decode: adapter.DecodeManifest,
+		},
+		Front: func(e *entry.Entry) fasthttp.RequestHandler { return adapter.JobsHandler(e) },
+	}
+}
+
+// addressOf returns the address of a URL that the settings have checked.
+func addressOf(url string) string {
+	_, address, _ := strings.Cut(url, "://")
+	return strings.TrimRight(address, "/")
+}
--- a/connection/peer/conn.go
+++ b/connection/peer/conn.go
@@ -8,6 +8,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"sync/atomic"
 	"time"
@@ -140,6 +141,17 @@
 	return p.Await(ctx, reply)
 }
 
+// Notify sends a message that has no reply.
+func (c *Conn) Notify(kind message.Kind, body any) error {
+	if c.isClosed.Load() {
+		return outcome.New(outcome.ConnectionLost, "connection closed before the message was sent").AsNotRun()
+	}
+	return c.send(kind, 0, body)
+}
+
+// Closed reports whether the connection has ended.
+func (c *Conn) Closed() bool { return c.isClosed.Load() }
+
 // Unanswered returns the number of calls without an answer.
 func (c *Conn) Unanswered() int {
 	c.mu.Lock()
@@ -196,9 +208,9 @@
 }
 
 func (c *Conn) send(kind message.Kind, call uint64, body any) error {
-	encoded, err := msgpack.Marshal(body)
+	encoded, err := encode(body)
 	if err != nil {
-		return errs.Wrap(err)
+		return err
 	}
 	if len(encoded)+frame.HeaderBytes > frame.MaxBytes {
 		return frame.ErrTooLarge
@@ -209,6 +221,21 @@
 	return errs.Wrap(c.raw.AsyncWrite(buf, nil))
 }
 
+// encode writes structs as arrays and numbers in as few bytes as they need,
+// since control traffic between regions is paid by volume.
+func encode(body any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(&buf)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(body); err != nil {
+		return nil, errs.Wrap(err)
+	}
+	return buf.Bytes(), nil
+}
+
 // Request is one call of the other side.
 type Request struct {
 	Conn *Conn
--- a/connection/peer/loop.go
+++ b/connection/peer/loop.go
@@ -108,7 +108,7 @@
 	if cause == frame.ErrVersion {
 		kind = outcome.WrongVersion
 	}
-	encoded, err := msgpack.Marshal(outcome.Field(kind, "frame", cause.Error()))
+	encoded, err := encode(outcome.Field(kind, "frame", cause.Error()))
 	if err == nil {
 		_, _ = raw.Write(frame.Append(nil, frame.Frame{Kind: message.KindError, Body: encoded}))
 	}
--- a/connection/peer/network.go
+++ b/connection/peer/network.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -26,6 +27,9 @@
 	closeTimeout = 5 * time.Second
 )
 
+// FieldRefused is the field of the error of a connection that nobody listens for.
+const FieldRefused = "refused"
+
 // Config sets up a Network.
 type Config struct {
 	Listen string // ip:port; port 0 takes a free one
@@ -229,6 +233,9 @@
 	}
 	dialer := net.Dialer{Timeout: DefaultDialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", target)
+	if errors.Is(err, unix.ECONNREFUSED) {
+		return nil, outcome.Field(outcome.ConnectionLost, FieldRefused, err.Error()).AsNotRun()
+	}
 	if err != nil {
 		return nil, outcome.New(outcome.ConnectionLost, err.Error()).AsNotRun()
 	}
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 
 	"camphorhead.example/camphorhead/connection/message"
@@ -21,6 +22,7 @@
 	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/process/pool"
+	"camphorhead.example/camphorhead/process/runs"
 	"camphorhead.example/camphorhead/process/settings"
 	"camphorhead.example/camphorhead/process/timeline"
 	"camphorhead.example/camphorhead/request/outcome"
@@ -33,6 +35,11 @@
 	Clock  clockwork.Clock
 	Log    event.Logger
 	Worker platform.Worker
+	// Runner is the worker of agents that follow a leader's orders, ReadLeader
+	// asks the store who that is, and Registry serves the worker's announcements.
+	Runner     platform.Runner
+	ReadLeader func(ctx context.Context) (message.Leader, error)
+	Registry   func(*Agent) fasthttp.RequestHandler
 }
 
 // Agent is one agent process.
@@ -52,8 +59,12 @@
 	tasks   *tasks
 	control *control
 	web     *web
-	stop    context.CancelFunc
-	tickers []*pool.Ticker
+	node    *runs.Node
+	// registry is the listener of a worker that announces itself; nil: none.
+	registry *registry
+	deps     Deps
+	stop     context.CancelFunc
+	tickers  []*pool.Ticker
 
 	// serving is true between a successful Start and Stop.
 	serving  atomic.Bool
@@ -71,7 +82,7 @@
 		ledger: ledger.New(ledger.Config{
 			Clock: deps.Clock, Reserve: reserveOf(cfg), CPUFloorPercent: cfg.Limits.CPUFloorPercent,
 		}),
-		started: deps.Clock.Now(),
+		started: deps.Clock.Now(), deps: deps,
 	}
 	a.ring = timeline.NewRing(cfg.Process.ID, a.hlc, timeline.DefaultLength)
 	a.log = deps.Log.WithRecorder(a.ring)
@@ -86,6 +97,9 @@
 	a.web = newWeb(a)
 	a.metrics.PublishProcess(a.started, a.clock.Now, a.FrameBytes, a.pool.Queued)
 	a.metrics.Gauge("services", func() any { return a.checks.loads() })
+	if deps.Runner != nil {
+		a.node = a.newNode(deps)
+	}
 	return a
 }
 
@@ -103,6 +117,12 @@
 	a.serving.Store(true)
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	a.stop = cancel
+	if a.node != nil {
+		a.node.Start()
+		a.log.Emit(event.ProcessServing, "frames_address", a.Address(), "http_address", a.HTTPAddress(),
+			"elapsed_ms", a.clock.Since(a.started).Milliseconds())
+		return a.startRegistry(a.deps.Registry(a))
+	}
 	a.tasks.start(run)
 	a.tickers = append(a.tickers,
 		a.pool.Every(a.cfg.Lease.Heartbeat()/heartbeatTicks, a.session.tick),
@@ -121,6 +141,9 @@
 	if !a.serving.CompareAndSwap(true, false) {
 		return nil
 	}
+	if a.node != nil {
+		return a.stopNode()
+	}
 	a.draining.all()
 	a.checks.close(ctx)
 	for _, t := range a.tickers {
@@ -133,6 +156,22 @@
 	return err
 }
 
+// stopNode ends an agent that follows a leader's orders. What runs goes on
+// until its lease ends or the next agent takes it over.
+func (a *Agent) stopNode() error {
+	a.log.Emit(event.ProcessStopping, "reason", "stop requested")
+	a.node.Stop()
+	var err error
+	if a.registry != nil {
+		err = a.registry.close()
+	}
+	a.stop()
+	err = errs.Combine(err, a.web.close(), a.net.Close())
+	a.pool.Close()
+	a.log.Emit(event.ProcessStopped)
+	return err
+}
+
 // Address returns the bound address of the frame listener.
 func (a *Agent) Address() string { return a.net.Address() }
 
@@ -189,6 +228,9 @@
 
 // Handle implements peer.Handler.
 func (h handler) Handle(ctx context.Context, r peer.Request) {
+	if h.node != nil && h.node.Handle(ctx, r) {
+		return
+	}
 	switch r.Kind {
 	case message.KindQuery:
 		h.checks.query(r)
--- /dev/null
+++ b/process/agent/node.go
@@ -0,0 +1,65 @@
+package agent
+
+import (
+	"net"
+
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
+
+	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/runs"
+)
+
+// newNode returns this agent's part in running tasks.
+func (a *Agent) newNode(deps Deps) *runs.Node {
+	return runs.New(runs.Config{
+		ID: a.cfg.Process.ID, Address: a.advertised, Location: a.location(), Clock: a.clock, Log: a.log,
+		Worker: deps.Runner, Ledger: a.ledger, Net: a.net, Pool: a.pool, Metrics: a.metrics,
+		Timing: runs.Timing{
+			Heartbeat: a.cfg.Lease.Heartbeat(), WorkerLease: a.cfg.Lease.Worker(),
+			Call: a.cfg.Limits.CallTimeout(), WorkerCall: a.cfg.Limits.CallTimeout() / 2,
+		},
+		Seeds: a.cfg.Entries.Seeds, ReadLeader: deps.ReadLeader, ConfigVersion: a.ConfigVersion,
+	})
+}
+
+// registry is the listener at which the worker announces itself.
+type registry struct {
+	server *fasthttp.Server
+	done   chan error
+}
+
+func (a *Agent) startRegistry(handler fasthttp.RequestHandler) error {
+	listener, err := net.Listen("tcp", a.cfg.Worker.Registry)
+	if err != nil {
+		return errs.New("listen on %s: %w", a.cfg.Worker.Registry, err)
+	}
+	a.registry = &registry{
+		server: &fasthttp.Server{
+			Handler: handler, MaxRequestBodySize: int(a.cfg.HTTP.MaxBodyBytes), NoDefaultServerHeader: true,
+			CloseOnShutdown: true,
+		},
+		done: make(chan error, 1),
+	}
+	go func() { a.registry.done <- a.registry.server.Serve(listener) }()
+	return nil
+}
+
+func (r *registry) close() error {
+	return errs.Combine(r.server.Shutdown(), <-r.done)
+}
+
+// Announce takes in what the worker says of itself.
+func (a *Agent) Announce(w message.WorkerInfo, sequence uint64) {
+	a.ledger.Open(w.Capacity, nil)
+	a.node.Announce(w, sequence)
+}
+
+// Withdraw takes in that the worker ends.
+func (a *Agent) Withdraw(id string) { a.node.Withdraw(id) }
+
+// Malformed is told of an announcement that cannot be used.
+func (a *Agent) Malformed(source string, err error) {
+	a.log.Emit(event.AnnouncementRefused, "source", source, "error", err)
+}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 
 	"camphorhead.example/camphorhead/connection/message"
@@ -20,6 +21,7 @@
 	"camphorhead.example/camphorhead/process/configlog"
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/fleet"
+	"camphorhead.example/camphorhead/process/lead"
 	"camphorhead.example/camphorhead/process/membership"
 	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
@@ -56,6 +58,12 @@
 	Store platform.Store
 	// Delays are the one-way delays that routing assumes.
 	Delays routing.Settings
+	// Records is the store that leading entries keep jobs in; with it the entry
+	// schedules by terms and follows Manifest.
+	Records  platform.TxnStore
+	Manifest ManifestSource
+	// Front serves the callers of the settings' jobs table; nil: there are none.
+	Front func(*Entry) fasthttp.RequestHandler
 }
 
 // Entry is one entry process.
@@ -87,6 +95,9 @@
 	sessions   *sessions
 	digests    *digests
 	web        *web
+	node       *lead.Node
+	front      *front
+	deps       Deps
 
 	run       context.Context
 	cancel    context.CancelFunc
@@ -125,7 +136,7 @@
 		watchDone:  make(chan struct{}),
 		started:    deps.Clock.Now(),
 
-		registerTurn: make(chan struct{}, 1),
+		registerTurn: make(chan struct{}, 1), deps: deps,
 	}
 	e.ring = timeline.NewRing(cfg.Process.ID, e.hlc, timeline.DefaultLength)
 	e.log = deps.Log.WithRecorder(e.ring)
@@ -146,6 +157,9 @@
 	e.web = newWeb(e)
 	e.metrics.PublishProcess(e.started, e.clock.Now, e.FrameBytes, e.pool.Queued)
 	e.metrics.Gauge("jobs_waiting", func() any { return e.scheduler.waitingJobs() })
+	if deps.Records != nil {
+		e.node = e.newNode(deps)
+	}
 	return e
 }
 
@@ -167,6 +181,9 @@
 		return err
 	}
 	e.serving.Store(true)
+	if e.node != nil {
+		return e.startNode()
+	}
 	e.register(e.run)
 	go e.watchConfig()
 	e.tickers = append(e.tickers,
@@ -186,6 +203,21 @@
 	return nil
 }
 
+// startNode serves the callers of jobs.
+func (e *Entry) startNode() error {
+	go e.followManifest(e.deps.Records, e.deps.Manifest)
+	e.node.Start()
+	e.ready.Store(true)
+	if e.deps.Front != nil {
+		if err := e.startFront(e.deps.Front(e)); err != nil {
+			return err
+		}
+	}
+	e.log.Emit(event.ProcessServing, "frames_address", e.Address(), "http_address", e.HTTPAddress(),
+		"elapsed_ms", e.clock.Since(e.started).Milliseconds())
+	return nil
+}
+
 // heartbeatShare shortens the interval of digests along with that of
 // heartbeats where settings ask for faster detection.
 func heartbeatShare(cfg settings.Settings) time.Duration {
@@ -201,6 +233,9 @@
 	}
 	e.ready.Store(false)
 	e.log.Emit(event.ProcessStopping, "reason", "stop requested")
+	if e.node != nil {
+		return e.stopNode(ctx)
+	}
 	if err := e.handOverAll(ctx); err != nil {
 		// Another entry takes the shards over when the registration lapses.
 		e.log.Emit(event.StoreUnavailable, "operation", "hand over shards", "error", err)
@@ -217,6 +252,18 @@
 	return err
 }
 
+// stopNode gives the term up, lets requests in progress finish and ends.
+func (e *Entry) stopNode(ctx context.Context) error {
+	e.node.Stop(ctx)
+	err := errs.Combine(e.closeFront(ctx), e.web.close(ctx))
+	e.cancel()
+	<-e.watchDone
+	err = errs.Combine(err, e.net.Close())
+	e.closePools()
+	e.log.Emit(event.ProcessStopped)
+	return err
+}
+
 func (e *Entry) closePools() {
 	e.pool.Close()
 	e.waitPool.Close()
@@ -307,6 +354,9 @@
 
 // Handle implements peer.Handler.
 func (h handler) Handle(ctx context.Context, r peer.Request) {
+	if h.node != nil && h.node.Handle(ctx, r) {
+		return
+	}
 	switch r.Kind {
 	case message.KindHeartbeat:
 		h.sessions.heartbeat(ctx, r)
--- a/process/event/catalogue.go
+++ b/process/event/catalogue.go
@@ -39,6 +39,8 @@
 	{StoreUnavailable, "store_unavailable", Error, "store does not respond", fields("operation error"), "Check the store. Checks and running tasks go on; new jobs are refused."},
 	{StoreAvailable, "store_available", Info, "store responds again", fields("outage_ms"), none},
 	{InternalError, "internal_error", Error, "internal error", fields("component error"), "Report it as a fault of camphorhead with the events before it."},
+	{SettingsReloaded, "settings_reloaded", Info, "settings file was read again", fields("file reason"), "Settings that need a restart are named in reason."},
+	{MemoryBound, "memory_bound", Info, "memory of the process is bounded", fields("bytes"), none},
 }
 
 var connectionEvents = []Definition{
@@ -58,6 +60,13 @@
 	{AgentSuspected, "agent_suspected", Info, "agent is suspected to have failed", fields("agent session silent_ms"), "If it repeats for one host, check the host and its network."},
 	{AgentSessionLapsed, "agent_session_lapsed", Error, "session of an agent has lapsed", fields("agent session tasks"), "Check the host. Its tasks resume on other workers."},
 	{AgentRehomed, "agent_rehomed", Info, "agent has changed its home entry", fields("agent session from_entry to_entry"), none},
+	{LeaderKnown, "leader_known", Info, "leader is known", fields("term entry address source"), none},
+	{TermBegun, "term_begun", Info, "this entry leads", fields("term jobs unproven"), none},
+	{TermNotBegun, "term_not_begun", Info, "this entry could not begin a term", fields("term error"), "If no entry leads, check the store."},
+	{TermEnded, "term_ended", Info, "this entry leads no more", fields("term reason"), none},
+	{OrdersNotSent, "orders_not_sent", Info, "orders could not be sent, the agent's next full report settles them", fields("agent session tasks error"), none},
+	{LeaderLost, "leader_lost", Info, "leader does not answer or does not lead", fields("address reason"), "If no leader is found soon after, check the entries and the store."},
+	{SessionRenewed, "session_renewed", Info, "agent attaches to the leader anew", fields("reason"), none},
 }
 
 var configurationEvents = []Definition{
@@ -65,6 +74,7 @@
 	{ConfigurationConflict, "configuration_conflict", Info, "change is refused, it is based on an older version", fields("kind subject based_on_version version operator"), "Base the change on the current version and send it again."},
 	{ConfigurationStaleIgnored, "configuration_stale_ignored", Debug, "older configuration is ignored", fields("version offered_version source"), none},
 	{ConfigurationCopied, "configuration_copied", Info, "configuration comes from a peer, the store does not respond", fields("version source age_ms"), "Check the store. Changes are refused until it responds."},
+	{ManifestRefused, "manifest_refused", Error, "configuration in the store cannot be read and is ignored", fields("subject error"), "Correct what the operator wrote; the version before stays in force."},
 }
 
 var recordEvents = []Definition{
@@ -80,6 +90,11 @@
 	{JobFinished, "job_finished", Debug, "job is finished", fields("job incarnation state elapsed_ms"), none},
 	{JobCancelled, "job_cancelled", Info, "job is cancelled", fields("job incarnation"), none},
 	{JobRefused, "job_refused", Info, "job is refused", fields("kind profile franchisee reason ran"), "Follow the reason: quota, size of the job, or capacity."},
+	{JobQueued, "job_queued", Info, "recorded job is scheduled", fields("job profile tasks source"), none},
+	{JobCancelWanted, "job_cancel_wanted", Info, "cancelling of a job is recorded", fields("job source"), none},
+	{RecordUnreadable, "record_unreadable", Error, "record in the store cannot be read and is left alone", fields("subject"), "Check who writes to the store under this key."},
+	{JobRecorded, "job_recorded", Info, "job is durable and accepted", fields("job profile elapsed_ms term"), none},
+	{JobNotRecorded, "job_not_recorded", Info, "job could not be recorded", fields("job profile reason ran elapsed_ms error"), "Check the store. ran says whether the job may still come into being."},
 }
 
 var checkEvents = []Definition{
@@ -100,8 +115,22 @@
 	{WorkerReadmitted, "worker_readmitted", Info, "worker gets tasks again", fields("worker agent outage_ms"), none},
 	{LeaseAtRisk, "lease_at_risk", Error, "task leases are close to their end", fields("agent session remaining_ms tasks"), "Check the network between the agent and the entries."},
 	{TasksStoppedForLease, "tasks_stopped_for_lease", Error, "tasks are stopped at the end of their lease", fields("agent session tasks"), "Check the network and the store. The tasks resume from their checkpoints."},
-	{TaskStarted, "task_started", Debug, "worker runs a task", fields("job incarnation agent profile"), none},
+	{TaskStarted, "task_started", Debug, "worker runs a task", fields("job incarnation agent profile task run elapsed_ms"), none},
 	{TaskEnded, "task_ended", Debug, "task has ended at its worker and its end is recorded", fields("job incarnation agent state cause"), none},
+	{RunPlaced, "run_placed", Info, "run of a task is ordered at an agent", fields("task run agent wait_ms age_ms workers"), none},
+	{RunEnded, "run_ended", Info, "run of a task has ended", fields("task run agent state void cause"), none},
+	{RunRefused, "run_refused", Info, "run of a task was refused and has not started", fields("task run agent reason"), "If one worker repeats it, compare its reported capacity with what runs there."},
+	{TaskRunEnded, "task_run_ended", Info, "worker lists the end of a run", fields("task run state void cause"), none},
+	{StartUnanswered, "start_unanswered", Info, "start had no answer and is repeated under a higher token", fields("task run"), "If it repeats, check the worker."},
+	{StopNotTaken, "stop_not_taken", Info, "stop was not taken and is repeated", fields("task run error"), "If it repeats, check the worker."},
+	{WorkerAnnounced, "worker_announced", Info, "worker has announced itself", fields("worker service state remaining_ms"), none},
+	{WorkerLeft, "worker_left", Info, "worker has left", fields("worker"), none},
+	{WorkerSilent, "worker_silent", Error, "worker does not answer", fields("worker silent_ms error"), "Check the worker. Its runs end with their lease."},
+	{WorkerAnswers, "worker_answers", Info, "worker answers", fields("worker silent_ms"), none},
+	{WorkerReborn, "worker_reborn", Info, "another life of the worker answers", fields("worker tasks"), "Check why the worker ended."},
+	{AnnouncementRefused, "announcement_refused", Error, "announcement of a worker cannot be used", fields("source error"), "Check what writes to the address of the worker's registry."},
+	{ServingOverTarget, "serving_over_target", Info, "serving task is over its latency target", fields("task run tail_ms target_ms"), "If it lasts while nothing fills the worker, the task needs more processors."},
+	{RunPaced, "run_paced", Info, "filling task works at a share of its speed", fields("task run percent"), none},
 }
 
 var operatorEvents = []Definition{
--- a/process/event/id.go
+++ b/process/event/id.go
@@ -12,6 +12,8 @@
 	StoreUnavailable
 	StoreAvailable
 	InternalError
+	SettingsReloaded
+	MemoryBound
 )
 
 // Connections: 2000 to 2999.
@@ -33,6 +35,13 @@
 	AgentSuspected
 	AgentSessionLapsed
 	AgentRehomed
+	LeaderKnown
+	TermBegun
+	TermNotBegun
+	TermEnded
+	OrdersNotSent
+	LeaderLost
+	SessionRenewed
 )
 
 // Configuration: 4000 to 4999.
@@ -41,6 +50,7 @@
 	ConfigurationConflict
 	ConfigurationStaleIgnored
 	ConfigurationCopied
+	ManifestRefused
 )
 
 // Records and jobs: 5000 to 5999.
@@ -57,6 +67,11 @@
 	JobFinished
 	JobCancelled
 	JobRefused
+	JobQueued
+	JobCancelWanted
+	RecordUnreadable
+	JobRecorded
+	JobNotRecorded
 )
 
 // Checks: 6000 to 6999.
@@ -81,6 +96,20 @@
 	TasksStoppedForLease
 	TaskStarted
 	TaskEnded
+	RunPlaced
+	RunEnded
+	RunRefused
+	TaskRunEnded
+	StartUnanswered
+	StopNotTaken
+	WorkerAnnounced
+	WorkerLeft
+	WorkerSilent
+	WorkerAnswers
+	WorkerReborn
+	AnnouncementRefused
+	ServingOverTarget
+	RunPaced
 )
 
 // Operators: 8000 to 8999.
--- /dev/null
+++ b/process/lead/followers.go
@@ -0,0 +1,104 @@
+package lead
+
+import (
+	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/connection/peer"
+	"camphorhead.example/camphorhead/request/job"
+)
+
+func taskCount(d *job.Definition) int {
+	n := 0
+	for i := range d.Steps {
+		n += d.Steps[i].Count
+	}
+	return n * d.Runs()
+}
+
+func (l *leading) followerConns() []*peer.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conns := make([]*peer.Conn, 0, len(l.mu.followers))
+	for c := range l.mu.followers {
+		if c.Closed() {
+			delete(l.mu.followers, c)
+			continue
+		}
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// sendUpdates tells the followers what has changed; always says that they get
+// an update in any case, as a sign of life.
+func (l *leading) sendUpdates(always bool) {
+	if !l.flushing.CompareAndSwap(false, true) {
+		return
+	}
+	defer l.flushing.Store(false)
+	jobs, waiting := l.table.Updates()
+	if len(jobs) == 0 && len(waiting) == 0 && !always {
+		return
+	}
+	l.node.states.apply(jobs, waiting)
+	update := l.update()
+	update.Jobs, update.Waiting = jobs, waiting
+	conns := l.followerConns()
+	if always {
+		update.Entries = l.entryList()
+		l.mu.Lock()
+		l.mu.lastUpdate = l.node.cfg.Clock.Now()
+		l.mu.Unlock()
+	}
+	for _, c := range conns {
+		_ = c.Notify(message.KindUpdate, &update) // a lost follower follows again
+	}
+}
+
+func (l *leading) update() message.Update {
+	return message.Update{
+		Term: l.number, Beat: l.beat.Load(), Trouble: l.trouble.Load(), ConfigVersion: l.node.cfg.ConfigVersion(),
+	}
+}
+
+func (l *leading) entryList() []message.EntryInfo {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := []message.EntryInfo{l.node.cfg.Self()}
+	for c, info := range l.mu.followers {
+		if !c.Closed() {
+			list = append(list, info)
+		}
+	}
+	return list
+}
+
+// addFollower sends a new follower everything.
+func (l *leading) addFollower(conn *peer.Conn, f message.Follow) {
+	jobs, waiting := l.table.Snapshot()
+	l.mu.Lock()
+	l.mu.followers[conn] = f.Entry
+	l.mu.Unlock()
+	update := l.update()
+	update.Jobs, update.Waiting = jobs, waiting
+	_ = conn.Notify(message.KindUpdate, &update)
+}
+
+// report takes in an agent's report. Orders go out over the same connection.
+func (l *leading) report(conn *peer.Conn, r *message.Report) message.ReportReply {
+	l.mu.Lock()
+	valid := l.node.cfg.Clock.Now().Before(l.mu.validUntil)
+	if valid {
+		l.mu.conns[r.Agent] = conn
+	}
+	l.mu.Unlock()
+	if !valid {
+		return message.ReportReply{Term: l.number}
+	}
+	reply := l.table.Report(l.node.cfg.Clock.Now(), r)
+	if r.Full {
+		for _, info := range l.entryList() {
+			reply.Entries = append(reply.Entries, info.Address)
+		}
+	}
+	return reply
+}
--- /dev/null
+++ b/process/lead/node.go
@@ -0,0 +1,259 @@
+// Package lead makes one of the entries the leader of all jobs and lets the
+// others work with it.
+//
+// A Node lives as long as its process. Every entry records jobs and
+// cancellings itself, tells the leader and answers from the states that the
+// leader sends it. While a node leads it also owns the table of jobs, which
+// lives for that one term. Nothing is lost with a leader: the next one reads
+// the store and lets the agents say what runs.
+package lead
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/connection/peer"
+	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/jobstore"
+	"camphorhead.example/camphorhead/process/lockrank"
+	"camphorhead.example/camphorhead/process/metrics"
+	"camphorhead.example/camphorhead/process/platform"
+	"camphorhead.example/camphorhead/process/pool"
+	"camphorhead.example/camphorhead/process/term"
+	"camphorhead.example/camphorhead/version/profile"
+)
+
+// Timing holds the durations that leader and agents share.
+type Timing struct {
+	// Lease is how long an agent may keep its runs alive after a report.
+	Lease time.Duration
+	// Heartbeat is the longest pause between two reports of an agent.
+	Heartbeat time.Duration
+	// Silence is the time after which a leader without a sign of life is replaced.
+	Silence time.Duration
+	// Outage is how long a leader goes on without the store.
+	Outage time.Duration
+	// Retention is how long the state of an ended job is kept.
+	Retention time.Duration
+	// Call bounds a call to another process or the store.
+	Call time.Duration
+	// Preference is how long this entry lets others go first in the choice of a
+	// leader, beside StoreTrips times the time of a call of the store.
+	Preference time.Duration
+	StoreTrips int
+}
+
+// Config sets up a Node.
+type Config struct {
+	Self    func() message.EntryInfo
+	Clock   clockwork.Clock
+	Log     event.Logger
+	Store   platform.TxnStore
+	Net     *peer.Network
+	Pool    *pool.Pool
+	Metrics *metrics.Registry
+	Timing  Timing
+	// Profile returns the profile in force under a name.
+	Profile func(name string) (profile.Profile, bool)
+	// ConfigVersion returns the configuration version in force.
+	ConfigVersion func() uint64
+	// Behind is called with the address of a process that has a newer
+	// configuration in force; nil ignores that.
+	Behind func(version uint64)
+}
+
+const (
+	// tickInterval is the grain of the timers of a node.
+	tickInterval = 20 * time.Millisecond
+	// beatsPerSilence is how often a leader shows itself within the time after
+	// which it would be replaced.
+	beatsPerSilence = 4
+	// storePool bounds the writes and readings of the store that wait at a time.
+	storePoolWorkers = 8
+	// maxStoreTrip bounds what a slow store adds to the preference.
+	maxStoreTrip   = 80 * time.Millisecond
+	storePoolQueue = 256
+)
+
+// Node is an entry's part in leading and following.
+type Node struct {
+	cfg       Config
+	jobs      *jobstore.Jobs
+	states    *states
+	storePool *pool.Pool
+	ticker    *pool.Ticker
+	// leading is the term that this process leads; nil while it follows.
+	leading atomic.Pointer[leading]
+	// busy is set while a step of the watch is carried out.
+	busy atomic.Bool
+
+	mu      lockrank.Mutex // guards the fields below
+	watch   term.Watch
+	follow  *following
+	entries map[string]message.EntryInfo
+	pending map[string]*notice
+}
+
+// New returns a node that is not started.
+func New(cfg Config) *Node {
+	n := &Node{
+		cfg: cfg, jobs: jobstore.New(cfg.Store), mu: lockrank.NewMutex(lockrank.RankMembership),
+		states:  newStates(cfg.Clock, cfg.Timing.Retention),
+		entries: map[string]message.EntryInfo{}, pending: map[string]*notice{},
+	}
+	n.watch = term.NewWatch(term.Timing{
+		SilentAfter: cfg.Timing.Silence, PollEvery: cfg.Timing.Silence / beatsPerSilence,
+		Preference: cfg.Timing.Preference,
+	})
+	n.storePool = pool.New(storePoolWorkers, storePoolQueue)
+	return n
+}
+
+// Start begins to follow or to lead.
+func (n *Node) Start() {
+	n.ticker = n.cfg.Pool.Every(tickInterval, n.tick)
+}
+
+// Stop ends the node. A leader gives its term up, so that another entry takes
+// over at once; its agents and runs go on.
+func (n *Node) Stop(ctx context.Context) {
+	if n.ticker == nil {
+		return
+	}
+	n.ticker.Stop()
+	if l := n.leading.Load(); l != nil {
+		l.resign(ctx)
+	}
+	n.storePool.Close()
+}
+
+// Abort ends the node without a word to the others.
+func (n *Node) Abort() {
+	if n.ticker == nil {
+		return
+	}
+	n.ticker.Stop()
+	n.storePool.Close()
+}
+
+// Leads reports whether this process leads, and the newest term known.
+func (n *Node) Leads() (leads bool, number uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leading.Load() != nil, n.watch.Term()
+}
+
+// Leader returns where the leader is, as far as this process knows.
+func (n *Node) Leader() message.Leader {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	v := n.watch.View()
+	return message.Leader{Term: v.Term, Address: v.Holder.Address}
+}
+
+func (n *Node) tick(ctx context.Context) {
+	now := n.cfg.Clock.Now()
+	if l := n.leading.Load(); l != nil {
+		l.tick(ctx, now)
+		return
+	}
+	n.states.expire(now)
+	n.followTick(now)
+	n.mu.Lock()
+	step := n.watch.Next(now)
+	n.mu.Unlock()
+	if step == term.Nothing || !n.busy.CompareAndSwap(false, true) {
+		return
+	}
+	err := n.storePool.Submit(func(ctx context.Context) {
+		defer n.busy.Store(false)
+		n.carryOut(ctx, step)
+	})
+	if err != nil {
+		n.busy.Store(false)
+	}
+}
+
+// carryOut reads the store or begins a term.
+func (n *Node) carryOut(ctx context.Context, step term.Step) {
+	bounded, cancel := context.WithTimeout(ctx, n.cfg.Timing.Call)
+	defer cancel()
+	if step == term.ReadStore {
+		n.readTerm(bounded)
+		return
+	}
+	n.mu.Lock()
+	view := n.watch.View()
+	n.mu.Unlock()
+	// A term that was begun just before must not be claimed a second time, so
+	// the view that is claimed is always the one that was read last.
+	next, err := term.Claim(bounded, n.cfg.Store, view, n.cfg.Self())
+	if err != nil {
+		n.cfg.Log.Emit(event.TermNotBegun, "term", view.Term+1, "error", err)
+		n.readTerm(ctx)
+		return
+	}
+	n.begin(ctx, view, next)
+}
+
+func (n *Node) readTerm(ctx context.Context) {
+	began := n.cfg.Clock.Now()
+	view, err := term.Read(ctx, n.cfg.Store)
+	now := n.cfg.Clock.Now()
+	n.mu.Lock()
+	if err == nil {
+		n.watch.Prefer(n.cfg.Timing.Preference + time.Duration(n.cfg.Timing.StoreTrips)*min(now.Sub(began), maxStoreTrip))
+	}
+	before := n.watch.Term()
+	if err != nil {
+		n.watch.Missed(now)
+	} else {
+		n.watch.Saw(now, view)
+	}
+	n.mu.Unlock()
+	switch {
+	case err != nil:
+		n.cfg.Metrics.Add("store_read_failed", 1)
+	case view.Term > before && view.Mine(n.cfg.Self()) && n.leading.Load() == nil:
+		// The answer to this process's own claim was lost.
+		n.begin(ctx, view, view)
+	case view.Term > before:
+		n.noteLeader(view, "store")
+	}
+}
+
+func (n *Node) noteLeader(v term.View, source string) {
+	n.cfg.Log.Emit(event.LeaderKnown, "term", v.Term, "entry", v.Holder.ID, "address", v.Holder.Address, "source", source)
+}
+
+// begin leads the term that this process has begun. previous is the view that
+// it replaced.
+func (n *Node) begin(ctx context.Context, previous, view term.View) {
+	n.mu.Lock()
+	n.watch.Saw(n.cfg.Clock.Now(), view)
+	n.follow = nil
+	n.mu.Unlock()
+	l := newLeading(n, previous, view)
+	if err := l.load(ctx); err != nil {
+		n.cfg.Log.Emit(event.TermNotBegun, "term", view.Term, "error", err)
+		return // another entry, or this one, begins the next term
+	}
+	n.leading.Store(l)
+	n.cfg.Log.Emit(event.TermBegun, "term", view.Term, "jobs", l.table.Load().Jobs, "unproven", l.table.Load().Unproven)
+	l.announce()
+}
+
+// stepDown ends a term that this process leads.
+func (n *Node) stepDown(l *leading, reason string) {
+	if !n.leading.CompareAndSwap(l, nil) {
+		return
+	}
+	n.cfg.Log.Emit(event.TermEnded, "term", l.number, "reason", reason)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.watch.Gone(n.cfg.Clock.Now(), l.number)
+}
--- a/process/ledger/ledger.go
+++ b/process/ledger/ledger.go
@@ -143,6 +143,11 @@
 	l.adopt(t)
 }
 
+// AdoptRun records a run that the worker has, whether or not it fits.
+func (l *Ledger) AdoptRun(job string, incarnation uint32, declared resources.Resources) {
+	l.Adopt(Task{Job: job, Incarnation: incarnation, Declared: declared})
+}
+
 func (l *Ledger) adopt(t Task) {
 	if t.Since.IsZero() {
 		t.Since = l.cfg.Clock.Now()
--- /dev/null
+++ b/process/runs/calls.go
@@ -0,0 +1,295 @@
+package runs
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/platform"
+	"camphorhead.example/camphorhead/request/job"
+)
+
+const (
+	// startPause is the pause before a start that was not taken is repeated.
+	startPause = 30 * time.Millisecond
+	// stopInterval is the pause before a stop whose end is not listed is repeated.
+	stopInterval = 300 * time.Millisecond
+	// maxDialAttempts bounds the attempts to reach a worker for a start that
+	// was never sent.
+	maxDialAttempts = 5
+)
+
+// orders carries out what the leader wants.
+func (n *Node) orders(o *message.Orders) {
+	n.mu.Lock()
+	for i := range o.Inputs {
+		n.inputs[o.Inputs[i].Job] = o.Inputs[i].Input
+	}
+	for i := range o.Adopted {
+		n.adopt(&o.Adopted[i])
+	}
+	var starts []*run
+	for i := range o.Starts {
+		if r := n.admit(&o.Starts[i]); r != nil {
+			starts = append(starts, r)
+		}
+	}
+	var stops []job.RunKey
+	for i := range o.Stops {
+		key := o.Stops[i].Key
+		if r := n.runs[key]; r != nil {
+			r.stopping = true
+			continue // the ticker asks for it below
+		}
+		stops = append(stops, key)
+	}
+	refused := len(n.refused) > 0
+	n.mu.Unlock()
+	for _, r := range starts {
+		n.launch(r)
+	}
+	for _, key := range stops {
+		n.submit(func(ctx context.Context) { n.stopOnce(ctx, key) })
+	}
+	n.repeatStops(n.cfg.Clock.Now())
+	if refused {
+		n.link.kick()
+	}
+}
+
+// adopt takes in what a run is that the worker listed. The caller holds mu.
+func (n *Node) adopt(o *message.StartRun) {
+	r := n.runs[o.Key]
+	if r == nil {
+		return // it has ended meanwhile
+	}
+	r.order, r.known = *o, true
+	n.cfg.Ledger.AdoptRun(o.Key.Task.String(), o.Key.Run, o.Charge)
+}
+
+// admit takes an ordered run into the table if there is room for it. The
+// caller holds mu.
+func (n *Node) admit(o *message.StartRun) *run {
+	if n.runs[o.Key] != nil {
+		return nil
+	}
+	reason := ""
+	switch _, hasInput := n.inputs[o.Key.Task.Job]; {
+	case !hasInput:
+		reason = message.RefusedInput
+	case n.worker.Draining:
+		reason = "draining"
+	default:
+		if err := n.cfg.Ledger.Reserve(o.Key.Task.String(), o.Key.Run, o.Charge); err != nil {
+			reason = err.Error()
+		}
+	}
+	if reason != "" {
+		n.refused = append(n.refused, message.RunRefusal{Key: o.Key, Reason: reason})
+		n.changed = true
+		return nil
+	}
+	now := n.cfg.Clock.Now()
+	r := &run{order: *o, known: true, startedAt: now}
+	r.state = message.RunState{Key: o.Key, Checkpoint: o.Checkpoint, PacePct: fullPace}
+	r.paceKnown = true
+	n.runs[o.Key] = r
+	return r
+}
+
+// submit runs a call to the worker; a full queue refuses it.
+func (n *Node) submit(call func(ctx context.Context)) bool {
+	if err := n.calls.Submit(call); err != nil {
+		n.cfg.Metrics.Add("worker_calls_refused", 1)
+		return false
+	}
+	return true
+}
+
+func (n *Node) launch(r *run) {
+	if !n.submit(func(ctx context.Context) { n.startRun(ctx, r) }) {
+		n.refuse(r, "too many calls wait for the worker")
+	}
+}
+
+// refuse gives a run up that is certainly not at the worker and will not be.
+func (n *Node) refuse(r *run, reason string) {
+	n.mu.Lock()
+	if n.runs[r.order.Key] == r {
+		n.drop(r.order.Key)
+		n.refused = append(n.refused, message.RunRefusal{Key: r.order.Key, Reason: reason})
+		n.changed = true
+	}
+	n.mu.Unlock()
+	n.cfg.Log.Emit(event.RunRefused, "task", r.order.Key.Task.String(), "run", r.order.Key.Run, "reason", reason)
+	n.link.kick()
+}
+
+// startRun calls the worker until it is known whether the run is there. A call
+// without an answer is repeated under a higher token, which fences off the
+// copy that may still be carried out.
+func (n *Node) startRun(ctx context.Context, r *run) {
+	dials := 0
+	for ctx.Err() == nil {
+		req, wanted := n.startRequest(r)
+		if !wanted {
+			return
+		}
+		if req.LeaseUntilMs == 0 {
+			n.refuse(r, "no lease")
+			return
+		}
+		began := n.cfg.Clock.Now()
+		bounded, cancel := context.WithTimeout(ctx, n.cfg.Timing.WorkerCall)
+		clockMs, err := n.cfg.Worker.Start(bounded, req)
+		cancel()
+		var refusal *platform.RefusalError
+		switch {
+		case err == nil:
+			n.started(r, clockMs, began)
+			return
+		case errors.As(err, &refusal) && refusal.Reason == platform.RefusedFenced:
+			n.raise(req.Token)
+		case errors.As(err, &refusal) && refusal.Reason == platform.RefusedOld:
+			n.settleOld(ctx, r)
+			return
+		case errors.As(err, &refusal):
+			n.refuse(r, string(refusal.Reason))
+			return
+		case errors.Is(err, platform.ErrUnavailable):
+			if dials++; dials >= maxDialAttempts && !n.hasUnanswered(r) {
+				n.refuse(r, "the worker is not reached")
+				return
+			}
+			n.sleep(ctx, startPause)
+		default:
+			n.noAnswer(r, req.Token)
+		}
+	}
+}
+
+func (n *Node) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-n.cfg.Clock.After(d):
+	}
+}
+
+// startRequest builds the call; wanted is false once the run is settled.
+func (n *Node) startRequest(r *run) (req platform.RunRequest, wanted bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.runs[r.order.Key] != r || !r.confirmed.IsZero() {
+		return req, false
+	}
+	req = platform.RunRequest{
+		RunKey: r.order.Key, Token: n.token, Instance: n.instance, Checkpoint: r.order.Checkpoint,
+		Ticket: r.order.Ticket, Input: n.inputs[r.order.Key.Task.Job], Need: r.order.Need,
+	}
+	if until, ok := n.leaseUntil(n.cfg.Clock.Now()); ok {
+		req.LeaseUntilMs = until
+	}
+	if r.stopping && r.unanswered.IsZero() {
+		// It was not sent yet and is not wanted any more.
+		req.LeaseUntilMs = 0
+	}
+	return req, true
+}
+
+func (n *Node) started(r *run, clockMs int64, began time.Time) {
+	now := n.cfg.Clock.Now()
+	n.mu.Lock()
+	if r.confirmed.IsZero() {
+		r.confirmed = now
+	}
+	n.noteClock(n.lifeMs, clockMs, now)
+	stop := r.stopping
+	n.mu.Unlock()
+	n.cfg.Metrics.Observe("worker_start", now.Sub(began))
+	n.cfg.Log.Emit(event.TaskStarted, "task", r.order.Key.Task.String(), "run", r.order.Key.Run, "elapsed_ms", now.Sub(began).Milliseconds())
+	if stop {
+		n.repeatStops(now)
+	}
+}
+
+// raise takes a token above one that the worker refused.
+func (n *Node) raise(refused int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.token == refused {
+		n.token += tokenStep
+	}
+}
+
+// noAnswer notes that a start may still be carried out, and fences it off.
+func (n *Node) noAnswer(r *run, token int64) {
+	n.mu.Lock()
+	r.unanswered = n.cfg.Clock.Now()
+	if n.token == token {
+		n.token++
+	}
+	n.mu.Unlock()
+	n.cfg.Metrics.Add("worker_starts_unanswered", 1)
+	n.cfg.Log.Emit(event.StartUnanswered, "task", r.order.Key.Task.String(), "run", r.order.Key.Run)
+}
+
+func (n *Node) hasUnanswered(r *run) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !r.unanswered.IsZero()
+}
+
+// settleOld settles a start that the worker refused because it knows this run
+// or a higher one: an earlier copy was carried out and has ended, or it never was.
+func (n *Node) settleOld(ctx context.Context, r *run) {
+	asked := n.cfg.Clock.Now()
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		settled := n.runs[r.order.Key] != r || !r.confirmed.IsZero()
+		fresh := n.listedAt.After(asked.Add(holdWait))
+		n.mu.Unlock()
+		if settled {
+			return
+		}
+		if fresh {
+			n.refuse(r, string(platform.RefusedOld))
+			return
+		}
+		n.sleep(ctx, startPause)
+	}
+}
+
+// repeatStops asks for the end of runs that are to end and are still there.
+func (n *Node) repeatStops(now time.Time) {
+	n.mu.Lock()
+	var due []job.RunKey
+	for key, r := range n.runs {
+		if r.stopping && !r.confirmed.IsZero() && now.Sub(r.stopAt) >= stopInterval {
+			r.stopAt = now
+			due = append(due, key)
+		}
+	}
+	n.mu.Unlock()
+	for _, key := range due {
+		n.submit(func(ctx context.Context) { n.stopOnce(ctx, key) })
+	}
+}
+
+// stopOnce asks the worker to end a run; its end shows in a listing.
+func (n *Node) stopOnce(ctx context.Context, key job.RunKey) {
+	n.mu.Lock()
+	token, instance := n.token, n.instance
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.Timing.WorkerCall)
+	defer cancel()
+	err := n.cfg.Worker.Stop(ctx, key, token, instance)
+	var refusal *platform.RefusalError
+	if errors.As(err, &refusal) && refusal.Reason == platform.RefusedFenced {
+		n.raise(token)
+	}
+	if err != nil {
+		n.cfg.Log.Emit(event.StopNotTaken, "task", key.Task.String(), "run", key.Run, "error", err)
+	}
+}
--- /dev/null
+++ b/process/schedule/ends.go
@@ -0,0 +1,153 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/request/job"
+)
+
+const (
+	// maxAvoided bounds the agents that a task is kept away from.
+	maxAvoided = 4
+	// refusalPause is how long an agent gets nothing new after it refused a
+	// start for want of room: its next report shows the room that it has.
+	refusalPause = 200 * time.Millisecond
+)
+
+// noteEnd takes in the end of a run. It is acknowledged once the job is durable.
+func (t *Table) noteEnd(now time.Time, a *agentState, e *message.RunEnd) {
+	var j *jobState
+	if task := t.task(e.Key.Task); task != nil {
+		j = task.step.job()
+		t.applyEnd(now, a, task, e)
+	}
+	if e.Serial == 0 {
+		return
+	}
+	pending := pendingEnd{serial: e.Serial, job: j}
+	if j != nil {
+		pending.version = j.version
+	}
+	a.ends = append(a.ends, pending)
+}
+
+func (t *Table) applyEnd(now time.Time, a *agentState, task *taskState, e *message.RunEnd) {
+	how := e.How
+	run := a.runs[e.Key]
+	if e.Void {
+		how = job.EndLapsed
+	}
+	if run == nil && (task.phase != taskUnknown || e.Key.Run < task.lastRun) {
+		// The run was taken for dead and may have been replaced. A task of the
+		// previous term takes ends as they are until all agents are known.
+		t.logEnd(a, e, "superseded")
+		return
+	}
+	if run != nil {
+		t.release(run)
+	}
+	task.lastRun = max(task.lastRun, e.Key.Run)
+	if e.Checkpoint != "" {
+		task.checkpoint = e.Checkpoint
+	}
+	t.logEnd(a, e, "")
+	if run != nil {
+		t.noteHealth(now, a, run, how)
+	}
+	switch {
+	case task.phase == taskDone || task.step.job().state.Terminal():
+		task.run = nil
+	case how == job.EndDone && !task.step.def.Lasts:
+		t.taskDone(now, task)
+	case how == job.EndFailed:
+		t.taskFailed(now, a, task)
+	default:
+		t.again(now, task)
+	}
+}
+
+func (t *Table) logEnd(a *agentState, e *message.RunEnd, note string) {
+	t.cfg.Log.Emit(event.RunEnded, "task", e.Key.Task.String(), "run", e.Key.Run, "agent", a.id,
+		"state", e.How.String(), "void", e.Void, "cause", note)
+}
+
+// taskDone notes a task as done and opens the steps that waited for its step.
+func (t *Table) taskDone(now time.Time, task *taskState) {
+	s := task.step
+	j := s.job()
+	if s.def.Gang {
+		// The end of one member stands for all of them.
+		for i := range s.tasks {
+			t.markDone(&s.tasks[i])
+		}
+	}
+	t.markDone(task)
+	t.touch(j)
+	if s.left > 0 {
+		return
+	}
+	o := s.occurrence
+	for _, next := range o.steps {
+		if slices.Contains(next.def.After, s.index) {
+			next.blocked--
+			t.consider(now, next)
+		}
+	}
+	o.left--
+	t.finishEmpty(now, o)
+}
+
+func (t *Table) markDone(task *taskState) {
+	if task.phase == taskDone {
+		return
+	}
+	if task.phase == taskWaiting {
+		task.step.pending--
+	}
+	task.phase = taskDone
+	j := task.step.job()
+	j.progress.SetDone(j.def, task.id())
+	task.step.left--
+}
+
+// taskFailed counts a failed run. Tasks that last have no limit of attempts.
+func (t *Table) taskFailed(now time.Time, a *agentState, task *taskState) {
+	j := task.step.job()
+	if !slices.Contains(task.avoid, a.id) {
+		task.avoid = append(task.avoid, a.id)
+		if len(task.avoid) > maxAvoided {
+			task.avoid = task.avoid[1:]
+		}
+	}
+	if task.step.def.Lasts {
+		t.again(now, task)
+		return
+	}
+	task.failures = j.progress.AddFailure(task.id())
+	t.touch(j)
+	p, ok := t.cfg.Profile(j.def.Profile)
+	if ok && p.MaxAttempts > 0 && task.failures >= p.MaxAttempts {
+		t.end(now, j, job.Failed)
+		return
+	}
+	t.again(now, task)
+}
+
+// noteRefusal lets a task wait again whose start did not happen.
+func (t *Table) noteRefusal(now time.Time, a *agentState, r *message.RunRefusal) {
+	run := a.runs[r.Key]
+	t.cfg.Log.Emit(event.RunRefused, "task", r.Key.Task.String(), "run", r.Key.Run, "agent", a.id, "reason", r.Reason)
+	if run == nil {
+		return
+	}
+	t.release(run)
+	a.heldBack = now.Add(refusalPause)
+	if r.Reason == message.RefusedInput {
+		delete(run.task.step.job().inputAt, a.id)
+		a.heldBack = time.Time{}
+	}
+	t.again(now, run.task)
+}
--- /dev/null
+++ b/process/schedule/pressure.go
@@ -0,0 +1,91 @@
+package schedule
+
+import (
+	"time"
+
+	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/request/interference"
+)
+
+// reading is the latest tail latency of a serving task.
+type reading struct {
+	interference.Serving
+	at time.Time
+}
+
+const (
+	// fillLoad is the load of a worker's idle processors up to which filling
+	// tasks are placed. Tasks that share processors all become late together,
+	// while those that wait their turn are done one after the other.
+	fillLoad = 1.15
+	// readingAge is how old a reading may be to tell anything.
+	readingAge = 3 * time.Second
+	// servingMargin is kept between the utilization of a serving task and its
+	// target when a filling task is placed beside it.
+	servingMargin = 0.12
+)
+
+// learn takes the readings of one report into the model of pressures.
+func (t *Table) learn(now time.Time, a *agentState, rows []message.RunState) {
+	served := false
+	for i := range rows {
+		served = served || rows[i].TailMs > 0 && a.runs[rows[i].Key] != nil && a.runs[rows[i].Key].task.step.def.TargetMs > 0
+	}
+	if !served {
+		return
+	}
+	capacity := float64(max(a.node.Capacity.MilliCPU, 1))
+	var use []interference.Filling
+	for _, run := range a.runs {
+		if def := run.task.step.def; def.Fills && run.milliCPU > 0 {
+			use = append(use, interference.Filling{Image: def.Image, Share: float64(run.milliCPU) / capacity})
+		}
+	}
+	use = interference.SumByImage(use)
+	for i := range rows {
+		run := a.runs[rows[i].Key]
+		if run == nil || run.task.step.def.TargetMs == 0 || rows[i].TailMs <= 0 || rows[i].ProgressPct < fullPace {
+			continue
+		}
+		def := run.task.step.def
+		r := reading{at: now, Serving: interference.Serving{
+			Key: run.task.id().String(), Image: def.Image, TailMs: int64(rows[i].TailMs), TargetMs: def.TargetMs,
+		}}
+		a.serving[rows[i].Key] = r
+		t.pressure.Observe(r.Serving, use)
+	}
+}
+
+// fillRooms returns for each worker of a view the processors that filling tasks
+// of an image may still use there.
+func (t *Table) fillRooms(v *view, image string) []int64 {
+	rooms := make([]int64, len(v.agents))
+	for i, a := range v.agents {
+		rooms[i] = t.fillRoom(v.now, a, image)
+	}
+	return rooms
+}
+
+func (t *Table) fillRoom(now time.Time, a *agentState, image string) int64 {
+	room := int64(fillLoad*float64(a.node.Idle())) - a.node.FillMilliCPU
+	capacity := float64(a.node.Capacity.MilliCPU)
+	for _, r := range a.serving {
+		if now.Sub(r.at) > readingAge {
+			continue
+		}
+		v, target := t.pressure.Utilization(r.Serving)
+		left := target - servingMargin - v
+		// What was placed since the reading is not in it yet.
+		for _, run := range a.runs {
+			if def := run.task.step.def; def.Fills {
+				unseen := float64(def.Need.MilliCPU*int64(run.pace)/fullPace-int64(run.milliCPU)) / capacity
+				left -= t.pressure.Weight(interference.PressurePair{Serving: r.Image, Filling: def.Image}) * max(unseen, 0)
+			}
+		}
+		weight := t.pressure.Weight(interference.PressurePair{Serving: r.Image, Filling: image})
+		if weight > 0 {
+			room = min(room, int64(left/weight*capacity))
+		}
+	}
+	return room
+}
--- a/process/settings/contradiction.go
+++ b/process/settings/contradiction.go
@@ -20,6 +20,10 @@
 	// 16 shards that commit every 120 ms stay below the 150 writes a second of the store.
 	{"records.commit_ms", 120, 5000, RoleEntry, func(s *Settings) int64 { return s.Records.CommitMs }},
 	{"records.retention_ms", 1000, 604_800_000, RoleEntry, func(s *Settings) int64 { return s.Records.RetentionMs }},
+	{"lease.outage_ms", 0, 86_400_000, "", func(s *Settings) int64 { return s.Lease.OutageMs }},
+	{"lease.worker_ms", 0, 600_000, "", func(s *Settings) int64 { return s.Lease.WorkerMs }},
+	{"limits.processor_percent", 0, 100_000, "", func(s *Settings) int64 { return s.Limits.ProcessorPercent }},
+	{"limits.memory_mb", 0, 1_000_000, "", func(s *Settings) int64 { return s.Limits.MemoryMB }},
 	{"limits.pool_workers", 1, 256, "", func(s *Settings) int64 { return s.Limits.PoolWorkers }},
 	{"limits.pool_queue", 1, 65_536, "", func(s *Settings) int64 { return s.Limits.PoolQueue }},
 	{"limits.queue_length", 1, 65_536, "", func(s *Settings) int64 { return s.Limits.QueueLength }},
@@ -35,6 +39,11 @@
 	switch s.Role {
 	case RoleEntry:
 		c.url("store.url", s.Store.URL)
+		c.protocol("store.protocol", s.Store.Protocol)
+		if s.Jobs != (Jobs{}) {
+			c.address("jobs.listen", s.Jobs.Listen, true)
+			c.address("jobs.ready", s.Jobs.Ready, true)
+		}
 		if s.Limits.ReserveMilliCPU != 0 {
 			c.refuse("limits.reserve_milli_cpu", `contradicts role = "entry"; only an agent has a worker`)
 		}
@@ -43,12 +52,24 @@
 		}
 	case RoleAgent:
 		c.url("worker.url", s.Worker.URL)
+		c.protocol("worker.protocol", s.Worker.Protocol)
+		if s.Worker.Protocol == ProtocolPlatform {
+			c.address("worker.registry", s.Worker.Registry, true)
+			c.url("store.url", s.Store.URL)
+			return // the store says who leads
+		}
 		if len(s.Entries.Seeds) == 0 {
 			c.refuse("entries.seeds", `is missing; role = "agent" needs at least one entry`)
 		}
 	}
 }
 
+func (c *checker) protocol(key, value string) {
+	if value != "" && value != ProtocolNative && value != ProtocolPlatform {
+		c.refuse(key, "must be %q or %q", ProtocolNative, ProtocolPlatform)
+	}
+}
+
 // tables refuses the tables of the other role, which would have no effect. An
 // empty table is refused if it is present in the file.
 func (c *checker) tables(s Settings, where positions) {
@@ -61,7 +82,10 @@
 	case RoleEntry:
 		refuse("worker", s.Worker != Worker{})
 	case RoleAgent:
-		refuse("store", s.Store != Store{})
+		refuse("jobs", s.Jobs != Jobs{})
+		if s.Worker.Protocol != ProtocolPlatform {
+			refuse("store", s.Store != Store{})
+		}
 		refuse("records", s.Records != Records{})
 	}
 }
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -24,6 +24,7 @@
 	Store   Store   `toml:"store,omitempty"`
 	Worker  Worker  `toml:"worker,omitempty"`
 	Entries Entries `toml:"entries"`
+	Jobs    Jobs    `toml:"jobs,omitempty"`
 	Lease   Lease   `toml:"lease"`
 	Records Records `toml:"records,omitempty"`
 	Limits  Limits  `toml:"limits"`
@@ -75,14 +76,35 @@
 	MaxBodyBytes int64  `toml:"max_body_bytes"`
 }
 
-// Store is the platform's key-value store. Only entries use it.
+// The protocols in which the store and the worker are spoken to.
+const (
+	ProtocolNative   = "native"
+	ProtocolPlatform = "platform"
+)
+
+// Store is the platform's key-value store.
 type Store struct {
 	URL string `toml:"url"`
+	// Protocol is native or platform; empty means native.
+	Protocol string `toml:"protocol,omitempty"`
 }
 
 // Worker is the platform's interface to the worker beside an agent.
 type Worker struct {
 	URL string `toml:"url"`
+	// Protocol is native or platform; empty means native.
+	Protocol string `toml:"protocol,omitempty"`
+	// Registry is the address at which a worker announces itself, Service the
+	// service that it must name. Only the platform's protocol has them.
+	Registry string `toml:"registry,omitempty"`
+	Service  string `toml:"service,omitempty"`
+}
+
+// Jobs is an entry's interface to callers who select a profile by address.
+type Jobs struct {
+	Listen string `toml:"listen"`
+	// Ready answers the balancer's question whether the entry takes requests.
+	Ready string `toml:"ready"`
 }
 
 // Entries lists entries to contact first.
@@ -95,8 +117,18 @@
 	TaskMs         int64 `toml:"task_ms"`
 	HeartbeatMs    int64 `toml:"heartbeat_ms"`
 	RegistrationMs int64 `toml:"registration_ms"`
+	// OutageMs is how long a leader goes on without the store.
+	OutageMs int64 `toml:"outage_ms"`
+	// WorkerMs is how far ahead an agent keeps the lease of its worker.
+	WorkerMs int64 `toml:"worker_ms"`
 }
 
+// Outage returns how long a leader goes on without the store.
+func (l Lease) Outage() time.Duration { return milliseconds(l.OutageMs) }
+
+// Worker returns how far ahead an agent keeps the lease of its worker.
+func (l Lease) Worker() time.Duration { return milliseconds(l.WorkerMs) }
+
 // Task returns the length of a task lease.
 func (l Lease) Task() time.Duration { return milliseconds(l.TaskMs) }
 
@@ -131,6 +163,18 @@
 	// worker's tasks may exceed what it has.
 	CPUFloorPercent int64 `toml:"cpu_floor_percent"`
 	CallTimeoutMs   int64 `toml:"call_timeout_ms"`
+	// ProcessorPercent is the share of a processor that the process may use; 0
+	// means all of it. MemoryMB bounds its memory; 0: no bound.
+	ProcessorPercent int64 `toml:"processor_percent,omitempty"`
+	MemoryMB         int64 `toml:"memory_mb,omitempty"`
+}
+
+// ProcessorShare returns the share of a processor that the process may use.
+func (l Limits) ProcessorShare() float64 {
+	if l.ProcessorPercent <= 0 {
+		return 1
+	}
+	return float64(l.ProcessorPercent) / 100
 }
 
 // CallTimeout returns the bound on one call to another process, the store, a
@@ -209,7 +253,9 @@
 		Role:    role,
 		Process: Process{Listen: "127.0.0.1:7100"},
 		HTTP:    HTTP{Listen: "127.0.0.1:7180", MaxBodyBytes: 262_144},
-		Lease:   Lease{TaskMs: 30_000, HeartbeatMs: 10_000, RegistrationMs: 10_000},
+		Lease: Lease{
+			TaskMs: 30_000, HeartbeatMs: 10_000, RegistrationMs: 10_000, OutageMs: 3_600_000, WorkerMs: 30_000,
+		},
 		Limits:  Limits{PoolWorkers: 16, PoolQueue: 4096, QueueLength: 512, CPUFloorPercent: 100, CallTimeoutMs: 2000},
 		Network: Network{LinkMbit: 30},
 		Log:     Log{Format: FormatHuman, Level: LevelInfo},
--- a/request/job/job.go
+++ b/request/job/job.go
@@ -38,6 +38,8 @@
 	Check Kind = "check"
 	Proof Kind = "proof"
 	Watch Kind = "watch"
+	// Pipeline is a job whose steps come with the request.
+	Pipeline Kind = "pipeline"
 )
 
 // IDLength is the length of a job id in hexadecimal digits.
--- /dev/null
+++ b/request/job/progress.go
@@ -0,0 +1,78 @@
+package job
+
+// Progress is the durable part of what has become of a job: which tasks are
+// done and which have failed how often. What runs where is not in it; workers
+// list that themselves.
+type Progress struct {
+	// Done holds one bitmap per occurrence and step, in order of occurrences.
+	Done [][]byte `msgpack:"d,omitempty"`
+	// Failed counts the failed runs of tasks that have any.
+	Failed []Failures `msgpack:"f,omitempty"`
+	// Cancelled is set once the cancelling of the job was taken note of.
+	Cancelled bool `msgpack:"c,omitempty"`
+}
+
+// Failures counts the failed runs of one task.
+type Failures struct {
+	Occurrence int `msgpack:"o,omitempty"`
+	Step       int `msgpack:"s,omitempty"`
+	Index      int `msgpack:"i,omitempty"`
+	Count      int `msgpack:"n"`
+}
+
+// NewProgress returns the progress of a job of which nothing is done.
+func NewProgress(d *Definition) *Progress {
+	p := &Progress{Done: make([][]byte, 0, d.Runs()*len(d.Steps))}
+	for range d.Runs() {
+		for i := range d.Steps {
+			p.Done = append(p.Done, make([]byte, (d.Steps[i].Count+7)/8))
+		}
+	}
+	return p
+}
+
+// Matches reports whether the progress has the shape of the definition.
+func (p *Progress) Matches(d *Definition) bool {
+	if len(p.Done) != d.Runs()*len(d.Steps) {
+		return false
+	}
+	for i, bits := range p.Done {
+		if len(bits) != (d.Steps[i%len(d.Steps)].Count+7)/8 {
+			return false
+		}
+	}
+	return true
+}
+
+// SetDone notes a task as done.
+func (p *Progress) SetDone(d *Definition, t TaskID) {
+	p.Done[t.Occurrence*len(d.Steps)+t.Step][t.Index/8] |= 1 << (t.Index % 8)
+}
+
+// IsDone reports whether a task is done.
+func (p *Progress) IsDone(d *Definition, t TaskID) bool {
+	return p.Done[t.Occurrence*len(d.Steps)+t.Step][t.Index/8]&(1<<(t.Index%8)) != 0
+}
+
+// AddFailure counts a failed run and returns the number of them.
+func (p *Progress) AddFailure(t TaskID) int {
+	for i := range p.Failed {
+		f := &p.Failed[i]
+		if f.Occurrence == t.Occurrence && f.Step == t.Step && f.Index == t.Index {
+			f.Count++
+			return f.Count
+		}
+	}
+	p.Failed = append(p.Failed, Failures{Occurrence: t.Occurrence, Step: t.Step, Index: t.Index, Count: 1})
+	return 1
+}
+
+// Clone returns a copy that shares nothing with p.
+func (p *Progress) Clone() Progress {
+	c := Progress{Cancelled: p.Cancelled, Done: make([][]byte, len(p.Done))}
+	for i, bits := range p.Done {
+		c.Done[i] = append([]byte(nil), bits...)
+	}
+	c.Failed = append([]Failures(nil), p.Failed...)
+	return c
+}
--- a/version/profile/profile.go
+++ b/version/profile/profile.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"regexp"
 	"sort"
+	"strings"
 
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/outcome"
@@ -45,10 +46,33 @@
 	// MaxEvictions bounds the evictions of one job.
 	MaxEvictions uint32 `msgpack:"e,omitempty" json:"max_evictions" toml:"max_evictions"`
 	Retired      bool   `msgpack:"x,omitempty" json:"retired" toml:"retired"`
+	// Priority orders waiting tasks; 0 comes first.
+	Priority int `msgpack:"pr,omitempty" json:"priority" toml:"priority"`
+	// MaxAttempts is how many runs of a task may fail before its job has failed.
+	MaxAttempts int `msgpack:"ma,omitempty" json:"max_attempts" toml:"max_attempts"`
+	// ObjectiveMs and ObjectiveStretch are the latency objective of a job: the
+	// stretch times its longest chain of work, and the milliseconds more.
+	ObjectiveMs      int64   `msgpack:"om,omitempty" json:"objective_ms" toml:"objective_ms"`
+	ObjectiveStretch float64 `msgpack:"os,omitempty" json:"objective_stretch" toml:"objective_stretch"`
+	// Host and Prefix select the profile where callers name it by address.
+	Host   string `msgpack:"hh,omitempty" json:"host" toml:"host"`
+	Prefix string `msgpack:"hp,omitempty" json:"prefix" toml:"prefix"`
+	// Advice, if set, asks a policy service which workers may run a step.
+	Advice *Advice `msgpack:"ad,omitempty" json:"advice" toml:"advice"`
 	// Version is the configuration version that last changed this profile.
 	Version uint64 `msgpack:"v" json:"version" toml:"-"`
 }
 
+// Advice describes the policy service of a profile.
+type Advice struct {
+	// DecideMs and EachMs are the time of an answer: a fixed part, and a part
+	// for each worker that is named.
+	DecideMs int64 `msgpack:"d" json:"decide_ms" toml:"decide_ms"`
+	EachMs   int64 `msgpack:"e" json:"each_ms" toml:"each_ms"`
+	// ValidMs is how long a ticket may be used.
+	ValidMs int64 `msgpack:"v" json:"valid_ms" toml:"valid_ms"`
+}
+
 // Validate names the first field at fault.
 func (p Profile) Validate() error {
 	switch {
@@ -145,6 +169,20 @@
 	Profiles map[string]Profile `msgpack:"p" json:"profiles"`
 	Teams    map[string]Team    `msgpack:"t" json:"teams"`
 	Stops    map[string]Stop    `msgpack:"s" json:"stops"`
+	// Services are the pools of workers; empty where they need no description.
+	Services map[string]Service `msgpack:"sv,omitempty" json:"services,omitempty"`
+	// MaxBodyBytes bounds the body of a submitted job; 0: only the settings do.
+	MaxBodyBytes int64 `msgpack:"b,omitempty" json:"max_body_bytes,omitempty"`
+}
+
+// Service describes a pool of workers.
+type Service struct {
+	Name       string `msgpack:"n" json:"name"`
+	HealthPath string `msgpack:"h,omitempty" json:"health_path,omitempty"`
+	// GuardsCapacity says that its workers refuse what exceeds their capacity.
+	GuardsCapacity bool `msgpack:"g,omitempty" json:"guards_capacity,omitempty"`
+	// Spare machines of the service are off.
+	Spare bool `msgpack:"s,omitempty" json:"spare,omitempty"`
 }
 
 // Delta is the change that leads to one version. Exactly one pointer or
@@ -163,7 +201,24 @@
 
 // Empty returns version 0.
 func Empty() *Document {
-	return &Document{Profiles: map[string]Profile{}, Teams: map[string]Team{}, Stops: map[string]Stop{}}
+	return &Document{
+		Profiles: map[string]Profile{}, Teams: map[string]Team{}, Stops: map[string]Stop{},
+		Services: map[string]Service{},
+	}
+}
+
+// Route returns the profile whose host is the given one and whose prefix is the
+// longest with which the path begins, and the rest of the path.
+func (d *Document) Route(host, path string) (p Profile, rest string, ok bool) {
+	for _, candidate := range d.Profiles {
+		if candidate.Prefix == "" || candidate.Host != host || candidate.Retired {
+			continue
+		}
+		if after, found := strings.CutPrefix(path, candidate.Prefix); found && (!ok || len(candidate.Prefix) > len(p.Prefix)) {
+			p, rest, ok = candidate, after, true
+		}
+	}
+	return p, rest, ok
 }
 
 // Apply returns the document after d, which must be the next version.
@@ -171,7 +226,10 @@
 	if delta.Version != d.Version+1 {
 		return nil, outcome.New(outcome.Conflict, fmt.Sprintf("delta %d does not follow version %d", delta.Version, d.Version))
 	}
-	next := &Document{Version: delta.Version, Profiles: d.Profiles, Teams: d.Teams, Stops: d.Stops}
+	next := &Document{
+		Version: delta.Version, Profiles: d.Profiles, Teams: d.Teams, Stops: d.Stops,
+		Services: d.Services, MaxBodyBytes: d.MaxBodyBytes,
+	}
 	switch {
 	case delta.Profile != nil:
 		next.Profiles = with(d.Profiles, delta.Profile.Name, *delta.Profile)
