process/schedule: count each failed run once, keep room for strays, follow loads of serving tasks

Change: failures are kept by run number; strays hold their part of the worker until their end; filling tasks are placed and paced by a model in which what fills raises the utilization of a serving task by a learned factor.

--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -81,6 +81,8 @@
 		reason = message.RefusedInput
 	case n.worker.Draining:
 		reason = "draining"
+	case n.strangers():
+		reason = "a run of unknown size is here"
 	default:
 		if err := n.cfg.Ledger.Reserve(o.Key.Task.String(), o.Key.Run, o.Charge); err != nil {
 			reason = err.Error()
@@ -99,6 +101,17 @@
 	return r
 }
 
+// strangers reports whether the worker has a run whose size nobody has told
+// this process. The caller holds mu.
+func (n *Node) strangers() bool {
+	for _, r := range n.runs {
+		if !r.known {
+			return true
+		}
+	}
+	return false
+}
+
 // submit runs a call to the worker; a full queue refuses it.
 func (n *Node) submit(call func(ctx context.Context)) bool {
 	if err := n.calls.Submit(call); err != nil {
--- a/process/runs/pacing.go
+++ b/process/runs/pacing.go
@@ -10,6 +10,7 @@
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/request/interference"
 	"camphorhead.example/camphorhead/request/job"
+	"camphorhead.example/camphorhead/request/placement"
 )
 
 const (
@@ -53,11 +54,12 @@
 		p.sampledAt = now
 		use := fillings(tasks)
 		for _, s := range serving {
-			p.pressure.Observe(s.Serving, use)
+			p.pressure.Observe(now, s.Serving, use)
 		}
 	}
 	var changed []*run
-	for i, pace := range p.pressure.Paces(p.cfg, serving, tasks) {
+	paces := p.pressure.Paces(p.cfg, now, serving, tasks)
+	for i, pace := range paces {
 		r := fills[i]
 		if pace != r.state.PacePct || !r.paceKnown {
 			r.wantedPace = pace
@@ -73,31 +75,30 @@
 // paceInput collects the serving tasks that are at work and the filling tasks
 // that are there, in a stable order. The caller holds mu.
 func (n *Node) paceInput(now time.Time) ([]interference.ServedTask, []interference.PacedTask, []*run) {
-	capacity := float64(max(n.worker.Capacity.MilliCPU, 1))
-	var used, asked int64
+	node := placement.Node{Capacity: n.worker.Capacity}
+	capacity := float64(max(node.Capacity.MilliCPU, 1))
 	var fills []*run
 	var serving []interference.ServedTask
 	for key, r := range n.runs {
 		switch {
 		case r.order.Fills && !r.confirmed.IsZero():
 			fills = append(fills, r)
-			asked += r.order.Need.MilliCPU
+			node.FillMilliCPU += r.order.Need.MilliCPU
 		case r.order.TargetMs > 0 && r.state.ProgressPct == fullPace && r.state.TailMs > 0:
 			serving = append(serving, n.served(now, key, r))
-			used += r.order.Need.MilliCPU
-		case !r.order.Fills:
-			used += r.order.Need.MilliCPU
+		}
+		node.Used = node.Used.Add(r.order.Charge)
+		if r.order.TargetMs > 0 {
+			node.ServingMilliCPU += r.order.Need.MilliCPU
 		}
 	}
 	slices.SortFunc(fills, func(a, b *run) int { return compareKeys(a.order.Key, b.order.Key) })
 	slices.SortFunc(serving, func(a, b interference.ServedTask) int { return compareText(a.Key, b.Key) })
-	// What fills shares the processors that the others leave.
-	fit := min(1, max(capacity-float64(used), 0)/float64(max(asked, 1)))
 	tasks := make([]interference.PacedTask, len(fills))
 	for i, r := range fills {
 		tasks[i] = interference.PacedTask{
 			Image: r.order.Image, Share: float64(r.state.MilliCPU) / capacity,
-			FullShare: float64(r.order.Need.MilliCPU) * fit / capacity, Pace: r.state.PacePct,
+			FullShare: node.FillShare(r.order.Need.MilliCPU), Pace: r.state.PacePct,
 		}
 	}
 	return serving, tasks, fills
--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -8,6 +8,7 @@
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/placement"
+	"camphorhead.example/camphorhead/request/resources"
 )
 
 // agentState is an agent with its worker as the leader knows them.
@@ -124,14 +125,17 @@
 			return // its end or its stop is under way
 		}
 		if run = t.adopt(now, a, s.Key); run == nil {
-			a.stops = append(a.stops, s.Key)
-			return
+			if run = t.adoptStray(a, s.Key); run == nil {
+				return
+			}
 		}
 	}
 	if full && run.stopping {
 		a.stops = append(a.stops, s.Key) // the order of the previous session may be lost
 	}
-	run.seen = true
+	if full {
+		a.adopted = append(a.adopted, run) // the agent may know nothing but its key
+	}
 	run.pace = s.PacePct
 	if s.Checkpoint != "" {
 		run.task.checkpoint = s.Checkpoint
@@ -162,25 +166,45 @@
 		task.step.pending--
 		t.consider(now, task.step)
 	}
-	run := t.activate(now, task, a, key.Run)
-	a.adopted = append(a.adopted, run)
+	return t.activate(now, task, a, key.Run)
+}
+
+// adoptStray orders the end of a run that must not go on. It holds its part of
+// the worker until its end is listed. It is nil for a run of an unknown task.
+func (t *Table) adoptStray(a *agentState, key job.RunKey) *runState {
+	task := t.task(key.Task)
+	if task == nil {
+		a.stops = append(a.stops, key)
+		return nil // the agent starts nothing beside a run of unknown size
+	}
+	run := &runState{task: task, number: key.Run, agent: a, stopping: true, stray: true, pace: fullPace}
+	a.runs[key] = run
+	t.occupy(run, 1)
 	return run
 }
 
+// occupy adds a run to what its worker holds, or takes it off with -1.
+func (t *Table) occupy(run *runState, sign int64) {
+	node, def := &run.agent.node, run.task.step.def
+	charge := def.Charge()
+	node.Used = node.Used.Add(resources.Resources{
+		MilliCPU: sign * charge.MilliCPU, MemoryMB: sign * charge.MemoryMB, Accelerators: sign * charge.Accelerators,
+	})
+	if def.Fills {
+		node.FillMilliCPU += sign * def.Need.MilliCPU
+	}
+	if def.TargetMs > 0 {
+		node.Serving += int(sign)
+		node.ServingMilliCPU += sign * def.Need.MilliCPU
+	}
+}
+
 // activate notes a run of a task at an agent.
 func (t *Table) activate(now time.Time, task *taskState, a *agentState, number uint32) *runState {
 	run := &runState{task: task, number: number, agent: a, ordered: now, progressAt: now, pace: fullPace}
 	task.phase, task.run, task.lastRun = taskActive, run, max(task.lastRun, number)
 	a.runs[run.key()] = run
-	def := task.step.def
-	a.node.Used = a.node.Used.Add(def.Charge())
-	if def.Fills {
-		a.node.FillMilliCPU += def.Need.MilliCPU
-	}
-	if def.TargetMs > 0 {
-		a.node.Serving++
-		a.node.ServingMilliCPU += def.Need.MilliCPU
-	}
+	t.occupy(run, 1)
 	task.step.onAgent[a.id]++
 	j := task.step.job()
 	if !j.began {
@@ -199,21 +223,19 @@
 
 // release takes a run that is dead off its agent and its task.
 func (t *Table) release(run *runState) {
-	a, def := run.agent, run.task.step.def
+	a := run.agent
 	if a.runs[run.key()] != run {
 		return
 	}
 	delete(a.runs, run.key())
-	a.node.Used = a.node.Used.Sub(def.Charge())
-	if def.Fills {
-		a.node.FillMilliCPU -= def.Need.MilliCPU
-	}
-	if def.TargetMs > 0 {
-		a.node.Serving--
-		a.node.ServingMilliCPU -= def.Need.MilliCPU
+	t.occupy(run, -1)
+	if run.task.step.def.TargetMs > 0 {
 		delete(a.serving, run.key())
 		t.pressure.Forget(run.task.id().String())
 	}
+	if run.stray {
+		return
+	}
 	if run.task.step.onAgent[a.id]--; run.task.step.onAgent[a.id] == 0 {
 		delete(run.task.step.onAgent, a.id)
 	}
@@ -235,7 +257,9 @@
 			continue
 		}
 		t.release(run)
-		t.again(now, run.task)
+		if !run.stray {
+			t.again(now, run.task)
+		}
 	}
 }
 
@@ -268,8 +292,11 @@
 func (t *Table) lapse(now time.Time, a *agentState) {
 	t.cfg.Log.Emit(event.AgentSessionLapsed, "agent", a.id, "session", a.session, "tasks", len(a.runs))
 	for _, run := range a.runs {
+		run.task.lapsedRun = max(run.task.lapsedRun, run.number)
 		t.release(run)
-		t.again(now, run.task)
+		if !run.stray {
+			t.again(now, run.task)
+		}
 	}
 	delete(t.agents, a.id)
 }
--- a/process/schedule/ends.go
+++ b/process/schedule/ends.go
@@ -40,15 +40,17 @@
 	if e.Void {
 		how = job.EndLapsed
 	}
-	if run == nil && (task.phase != taskUnknown || e.Key.Run < task.lastRun) {
-		// The run was taken for dead and may have been replaced. A task of the
-		// previous term takes ends as they are until all agents are known.
+	if run == nil && (e.Key.Run <= task.lapsedRun || how != job.EndDone && how != job.EndFailed) {
 		t.logEnd(a, e, "superseded")
 		return
 	}
 	if run != nil {
 		t.release(run)
 	}
+	if run != nil && run.stray {
+		t.logEnd(a, e, "stray")
+		return
+	}
 	task.lastRun = max(task.lastRun, e.Key.Run)
 	if e.Checkpoint != "" {
 		task.checkpoint = e.Checkpoint
@@ -59,11 +61,10 @@
 	}
 	switch {
 	case task.phase == taskDone || task.step.job().state.Terminal():
-		task.run = nil
 	case how == job.EndDone && !task.step.def.Lasts:
 		t.taskDone(now, task)
 	case how == job.EndFailed:
-		t.taskFailed(now, a, task)
+		t.taskFailed(now, a, task, e.Key.Run)
 	default:
 		t.again(now, task)
 	}
@@ -109,12 +110,15 @@
 	}
 	task.phase = taskDone
 	j := task.step.job()
+	if task.run != nil {
+		t.stop(task.run) // an earlier run was done after all
+	}
 	j.progress.SetDone(j.def, task.id())
 	task.step.left--
 }
 
 // taskFailed counts a failed run. Tasks that last have no limit of attempts.
-func (t *Table) taskFailed(now time.Time, a *agentState, task *taskState) {
+func (t *Table) taskFailed(now time.Time, a *agentState, task *taskState, run uint32) {
 	j := task.step.job()
 	if !slices.Contains(task.avoid, a.id) {
 		task.avoid = append(task.avoid, a.id)
@@ -126,10 +130,11 @@
 		t.again(now, task)
 		return
 	}
-	task.failures = j.progress.AddFailure(task.id())
-	t.touch(j)
-	p, ok := t.cfg.Profile(j.def.Profile)
-	if ok && p.MaxAttempts > 0 && task.failures >= p.MaxAttempts {
+	if j.progress.AddFailure(task.id(), run) {
+		t.touch(j)
+	}
+	limit := t.policy(j).MaxAttempts
+	if limit > 0 && j.progress.FailuresOf(task.id()) >= limit {
 		t.end(now, j, job.Failed)
 		return
 	}
--- a/process/schedule/place.go
+++ b/process/schedule/place.go
@@ -66,10 +66,7 @@
 func (t *Table) order(now time.Time) []candidate {
 	list := make([]candidate, 0, len(t.ready))
 	for s := range t.ready {
-		p, ok := t.cfg.Profile(s.job().def.Profile)
-		if !ok {
-			continue // the profile was removed; the job waits until it is back
-		}
+		p := t.policy(s.job())
 		c := candidate{step: s, profile: p, due: s.job().due(p)}
 		if left := time.Duration(s.chainMs()) * time.Millisecond; now.Add(left).After(c.due) {
 			c.late = 1
@@ -94,6 +91,17 @@
 	return list
 }
 
+// policy returns the profile of a job. One that was removed stays in force for
+// the jobs that it accepted.
+func (t *Table) policy(j *jobState) profile.Profile {
+	if p, ok := t.cfg.Profile(j.def.Profile); ok {
+		return p
+	}
+	return profile.Profile{
+		Name: j.def.Profile, Service: j.def.Service, Priority: j.def.Priority, MaxAttempts: j.def.MaxAttempts,
+	}
+}
+
 // due is when a job should have ended.
 func (j *jobState) due(p profile.Profile) time.Time {
 	objective := p.ObjectiveStretch*float64(j.chainMs()) + float64(p.ObjectiveMs)
--- a/process/schedule/pressure.go
+++ b/process/schedule/pressure.go
@@ -17,12 +17,14 @@
 	// fillLoad is the load of a worker's idle processors up to which filling
 	// tasks are placed. Tasks that share processors all become late together,
 	// while those that wait their turn are done one after the other.
-	fillLoad = 1.15
+	fillLoad = 1.25
 	// readingAge is how old a reading may be to tell anything.
 	readingAge = 3 * time.Second
 	// servingMargin is kept between the utilization of a serving task and its
 	// target when a filling task is placed beside it.
-	servingMargin = 0.12
+	servingMargin = 0.05
+	// placeAhead is how far ahead the load of serving tasks is looked at.
+	placeAhead = time.Second
 )
 
 // learn takes the readings of one report into the model of pressures.
@@ -52,7 +54,7 @@
 			Key: run.task.id().String(), Image: def.Image, TailMs: int64(rows[i].TailMs), TargetMs: def.TargetMs,
 		}}
 		a.serving[rows[i].Key] = r
-		t.pressure.Observe(r.Serving, use)
+		t.pressure.Observe(now, r.Serving, use)
 	}
 }
 
@@ -69,19 +71,12 @@
 func (t *Table) fillRoom(now time.Time, a *agentState, image string) int64 {
 	room := int64(fillLoad*float64(a.node.Idle())) - a.node.FillMilliCPU
 	capacity := float64(a.node.Capacity.MilliCPU)
+	filling := a.filling()
 	for _, r := range a.serving {
 		if now.Sub(r.at) > readingAge {
 			continue
 		}
-		v, target := t.pressure.Utilization(r.Serving)
-		left := target - servingMargin - v
-		// What was placed since the reading is not in it yet.
-		for _, run := range a.runs {
-			if def := run.task.step.def; def.Fills {
-				unseen := float64(def.Need.MilliCPU*int64(run.pace)/fullPace-int64(run.milliCPU)) / capacity
-				left -= t.pressure.Weight(interference.PressurePair{Serving: r.Image, Filling: def.Image}) * max(unseen, 0)
-			}
-		}
+		left := t.pressure.Allowed(now.Add(placeAhead), r.Serving, servingMargin) - t.pressure.Sum(r.Image, filling)
 		weight := t.pressure.Weight(interference.PressurePair{Serving: r.Image, Filling: image})
 		if weight > 0 {
 			room = min(room, int64(left/weight*capacity))
@@ -89,3 +84,15 @@
 	}
 	return room
 }
+
+// filling returns what the filling tasks of a worker are expected to use at
+// full pace.
+func (a *agentState) filling() []interference.Filling {
+	var use []interference.Filling
+	for _, run := range a.runs {
+		if def := run.task.step.def; def.Fills {
+			use = append(use, interference.Filling{Image: def.Image, Share: a.node.FillShare(def.Need.MilliCPU)})
+		}
+	}
+	return interference.SumByImage(use)
+}
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -152,11 +152,13 @@
 )
 
 type taskState struct {
-	step       *stepState
-	index      int
-	phase      taskPhase
-	failures   int
-	lastRun    uint32
+	step    *stepState
+	index   int
+	phase   taskPhase
+	lastRun uint32
+	// lapsedRun is the highest run that was taken for dead because its agent was
+	// silent; the platform does not count what such a run reports later.
+	lapsedRun  uint32
 	checkpoint string
 	run        *runState
 	avoid      []string
@@ -182,8 +184,10 @@
 	// progressAt is when the progress last grew.
 	progressAt time.Time
 	pace       int
-	milliCPU   int  // as last reported; 0: not yet
-	seen       bool // listed by its agent
+	milliCPU   int // as last reported; 0: not yet
+	// stray runs were listed by an agent and must end; they are not their
+	// task's run.
+	stray bool
 }
 
 func (r *runState) key() job.RunKey { return job.RunKey{Task: r.task.id(), Run: r.number} }
@@ -310,7 +314,6 @@
 		for n := range s.tasks {
 			task := &s.tasks[n]
 			task.step, task.index = s, n
-			task.failures = j.failuresOf(k, i, n)
 			if j.progress.IsDone(j.def, task.id()) {
 				task.phase = taskDone
 				s.left--
@@ -340,15 +343,6 @@
 	return o
 }
 
-func (j *jobState) failuresOf(occurrence, step, index int) int {
-	for _, f := range j.progress.Failed {
-		if f.Occurrence == occurrence && f.Step == step && f.Index == index {
-			return f.Count
-		}
-	}
-	return 0
-}
-
 // consider puts a step among the ready ones if it has tasks to place.
 func (t *Table) consider(now time.Time, s *stepState) {
 	if s.blocked > 0 || s.pending == 0 || s.job().state.Terminal() || s.job().cancelled {
--- a/request/interference/pacing.go
+++ b/request/interference/pacing.go
@@ -8,7 +8,6 @@
 
 // PacedTask is one filling task on a worker.
 type PacedTask struct {
-	Key   string
 	Image string
 	// Share is the measured use of the worker's processors, FullShare what it
 	// would use at full pace.
@@ -27,6 +26,9 @@
 type PaceConfig struct {
 	// Margin is kept between the utilization of a serving task and its target.
 	Margin float64
+	// Ahead is how far ahead the load of serving tasks is looked at, which covers
+	// the age of a reading and the time until a pace takes effect.
+	Ahead time.Duration
 	// Step is the largest rise of a pace in one decision, in percent.
 	Step int
 	// Grain is the least change of a pace that is worth a call, in percent.
@@ -38,20 +40,20 @@
 
 // DefaultPaceConfig returns the default thresholds.
 func DefaultPaceConfig() PaceConfig {
-	return PaceConfig{Margin: 0.10, Step: 25, Grain: 10, OverLimit: 1500 * time.Millisecond}
+	return PaceConfig{Margin: 0.06, Ahead: 600 * time.Millisecond, Step: 30, Grain: 10, OverLimit: 1500 * time.Millisecond}
 }
 
 // Paces returns the pace of each filling task, in the order of the tasks: the
 // highest at which no serving task is expected to exceed its target. What
 // presses most on a serving task is slowed down first. The agent calls it once
 // per reading of its worker.
-func (p *Pressure) Paces(cfg PaceConfig, serving []ServedTask, tasks []PacedTask) []int {
+func (p *Pressure) Paces(cfg PaceConfig, now time.Time, serving []ServedTask, tasks []PacedTask) []int {
 	paces := make([]float64, len(tasks))
 	for i := range paces {
 		paces[i] = 1
 	}
 	for _, s := range serving {
-		p.slowFor(cfg, s, tasks, paces)
+		p.slowFor(cfg, now, s, tasks, paces)
 	}
 	out := make([]int, len(tasks))
 	for i, t := range tasks {
@@ -61,32 +63,30 @@
 }
 
 // slowFor lowers paces until one serving task is expected to meet its target.
-func (p *Pressure) slowFor(cfg PaceConfig, s ServedTask, tasks []PacedTask, paces []float64) {
-	v, target := p.Utilization(s.Serving)
-	excess := v - (target - cfg.Margin)
+func (p *Pressure) slowFor(cfg PaceConfig, now time.Time, s ServedTask, tasks []PacedTask, paces []float64) {
+	excess := -p.Allowed(now.Add(cfg.Ahead), s.Serving, cfg.Margin)
 	order := make([]int, len(tasks))
 	press := make([]float64, len(tasks))
 	for i, t := range tasks {
 		order[i] = i
-		press[i] = p.Weight(PressurePair{s.Image, t.Image})
-		excess += press[i] * (t.FullShare*paces[i] - t.Share)
+		press[i] = p.Weight(PressurePair{s.Image, t.Image}) * t.FullShare
+		excess += press[i] * paces[i]
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(press[b], press[a]) })
+	pause := s.Over >= cfg.OverLimit
 	for _, i := range order {
-		if excess <= 0 && s.Over < cfg.OverLimit {
+		if excess <= 0 && !pause {
 			return
 		}
-		relief := press[i] * tasks[i].FullShare * paces[i]
-		if relief <= 0 {
-			continue
-		}
-		if s.Over >= cfg.OverLimit || relief <= excess {
+		relief := press[i] * paces[i]
+		switch {
+		case pause || relief <= excess:
 			paces[i] = 0
 			excess -= relief
-			continue
+		case relief > 0:
+			paces[i] *= 1 - excess/relief
+			excess = 0
 		}
-		paces[i] *= 1 - excess/relief
-		excess = 0
 	}
 }
 
@@ -94,8 +94,5 @@
 func settle(cfg PaceConfig, wanted, present int) int {
 	wanted = min(wanted, present+cfg.Step)
 	wanted -= wanted % cfg.Grain
-	if wanted > present && wanted-present < cfg.Grain && wanted < 100 {
-		return present
-	}
 	return max(wanted, 0)
 }
--- a/request/job/progress.go
+++ b/request/job/progress.go
@@ -1,5 +1,7 @@
 package job
 
+import "slices"
+
 // Progress is the durable part of what has become of a job: which tasks are
 // done and which have failed how often. What runs where is not in it; workers
 // list that themselves.
@@ -12,12 +14,13 @@
 	Cancelled bool `msgpack:"c,omitempty"`
 }
 
-// Failures counts the failed runs of one task.
+// Failures lists the failed runs of one task. The numbers tell a failure that is
+// reported again, as after a change of the leader, from another one.
 type Failures struct {
-	Occurrence int `msgpack:"o,omitempty"`
-	Step       int `msgpack:"s,omitempty"`
-	Index      int `msgpack:"i,omitempty"`
-	Count      int `msgpack:"n"`
+	Occurrence int      `msgpack:"o,omitempty"`
+	Step       int      `msgpack:"s,omitempty"`
+	Index      int      `msgpack:"i,omitempty"`
+	Runs       []uint32 `msgpack:"r"`
 }
 
 // NewProgress returns the progress of a job of which nothing is done.
@@ -54,17 +57,31 @@
 	return p.Done[t.Occurrence*len(d.Steps)+t.Step][t.Index/8]&(1<<(t.Index%8)) != 0
 }
 
-// AddFailure counts a failed run and returns the number of them.
-func (p *Progress) AddFailure(t TaskID) int {
+// AddFailure notes a failed run; it reports false for one that is noted already.
+func (p *Progress) AddFailure(t TaskID, run uint32) bool {
+	for i := range p.Failed {
+		f := &p.Failed[i]
+		if f.Occurrence == t.Occurrence && f.Step == t.Step && f.Index == t.Index {
+			if slices.Contains(f.Runs, run) {
+				return false
+			}
+			f.Runs = append(f.Runs, run)
+			return true
+		}
+	}
+	p.Failed = append(p.Failed, Failures{Occurrence: t.Occurrence, Step: t.Step, Index: t.Index, Runs: []uint32{run}})
+	return true
+}
+
+// FailuresOf returns the number of failed runs of a task.
+func (p *Progress) FailuresOf(t TaskID) int {
 	for i := range p.Failed {
 		f := &p.Failed[i]
 		if f.Occurrence == t.Occurrence && f.Step == t.Step && f.Index == t.Index {
-			f.Count++
-			return f.Count
+			return len(f.Runs)
 		}
 	}
-	p.Failed = append(p.Failed, Failures{Occurrence: t.Occurrence, Step: t.Step, Index: t.Index, Count: 1})
-	return 1
+	return 0
 }
 
 // Clone returns a copy that shares nothing with p.
@@ -73,6 +90,9 @@
 	for i, bits := range p.Done {
 		c.Done[i] = append([]byte(nil), bits...)
 	}
-	c.Failed = append([]Failures(nil), p.Failed...)
+	for _, f := range p.Failed {
+		f.Runs = slices.Clone(f.Runs)
+		c.Failed = append(c.Failed, f)
+	}
 	return c
 }
--- a/request/placement/pick.go
+++ b/request/placement/pick.go
@@ -70,13 +70,24 @@
 
 // servingUse is the part of their processors that serving tasks use; filling
 // tasks receive the rest.
-const servingUse = 0.7
+const servingUse = 0.5
 
 // Idle returns the processors that filling tasks receive on a worker.
 func (n *Node) Idle() int64 {
 	return n.Capacity.MilliCPU - n.Used.MilliCPU + int64((1-servingUse)*float64(n.ServingMilliCPU))
 }
 
+// fillUse is the part of what they ask for that filling tasks use.
+const fillUse = 0.8
+
+// FillShare returns the part of the worker's processors that a filling task is
+// expected to use at full pace.
+func (n *Node) FillShare(milliCPU int64) float64 {
+	wanted := fillUse * float64(max(n.FillMilliCPU, milliCPU))
+	fit := min(1, float64(max(n.Idle(), 0))/max(wanted, 1))
+	return fillUse * float64(milliCPU) * fit / float64(max(n.Capacity.MilliCPU, 1))
+}
+
 // Fits reports whether a worker may take the task, apart from its spread.
 func (a *Ask) Fits(n *Node) bool {
 	return n.Open && n.Service == a.Service &&
