process/lead: hand a term over in good order, keep ends of jobs that are not known yet

Change: a full report that names unknown jobs is taken in after a look into the store; a leader answers as one from its claim on; waiting calls of the store end with their context; a term is handed over once there is a follower.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -35,8 +35,11 @@
 )
 
 const (
-	configWatchWait   = 2 * time.Second
-	digestInterval    = 2 * time.Second
+	configWatchWait = 2 * time.Second
+	digestInterval  = 2 * time.Second
+	// turnTime is how long the balancer takes to turn to other entries: it asks
+	// every second and believes the second answer.
+	turnTime          = 2500 * time.Millisecond
 	shardInterval     = 200 * time.Millisecond
 	commitTick        = 20 * time.Millisecond
 	scheduleInterval  = 50 * time.Millisecond
@@ -252,10 +255,19 @@
 	return err
 }
 
-// stopNode gives the term up, lets requests in progress finish and ends.
+// stopNode gives the term up while the balancer turns to other entries, lets
+// requests in progress finish and ends.
 func (e *Entry) stopNode(ctx context.Context) error {
-	e.node.Stop(ctx)
+	turned := e.clock.After(turnTime)
+	handing, cancel := context.WithTimeout(ctx, turnTime)
+	e.node.HandOver(handing)
+	cancel()
+	select {
+	case <-turned:
+	case <-ctx.Done():
+	}
 	err := errs.Combine(e.closeFront(ctx), e.web.close(ctx))
+	e.node.Stop()
 	e.cancel()
 	<-e.watchDone
 	err = errs.Combine(err, e.net.Close())
--- a/process/lead/followers.go
+++ b/process/lead/followers.go
@@ -1,6 +1,8 @@
 package lead
 
 import (
+	"context"
+
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
 	"camphorhead.example/camphorhead/request/job"
@@ -83,8 +85,23 @@
 	_ = conn.Notify(message.KindUpdate, &update)
 }
 
+// knowsJobs makes sure that the table has every job that a full report names
+// and that was accepted: an end of a job that is not known would be
+// acknowledged and then forgotten.
+func (l *leading) knowsJobs(ctx context.Context, r *message.Report) bool {
+	if !r.Full || l.table.Knows(r) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.node.cfg.Timing.Call)
+	defer cancel()
+	return l.lookIntoInbox(ctx) == nil
+}
+
 // report takes in an agent's report. Orders go out over the same connection.
-func (l *leading) report(conn *peer.Conn, r *message.Report) message.ReportReply {
+func (l *leading) report(ctx context.Context, conn *peer.Conn, r *message.Report) message.ReportReply {
+	if !l.loaded.Load() || !l.knowsJobs(ctx, r) {
+		return message.ReportReply{Term: l.number}
+	}
 	l.mu.Lock()
 	valid := l.node.cfg.Clock.Now().Before(l.mu.validUntil)
 	if valid {
--- a/process/lead/handle.go
+++ b/process/lead/handle.go
@@ -11,10 +11,10 @@
 
 // Handle serves a message of another entry or an agent. It reports false for a
 // kind that is not the node's.
-func (n *Node) Handle(_ context.Context, r peer.Request) bool {
+func (n *Node) Handle(ctx context.Context, r peer.Request) bool {
 	switch r.Kind {
 	case message.KindReport:
-		serve(r, n.handleReport)
+		serve(r, func(r peer.Request, report *message.Report) { n.handleReport(ctx, r, report) })
 	case message.KindFollow:
 		serve(r, n.handleFollow)
 	case message.KindUpdate:
@@ -43,14 +43,14 @@
 	handle(r, &body)
 }
 
-func (n *Node) handleReport(r peer.Request, report *message.Report) {
+func (n *Node) handleReport(ctx context.Context, r peer.Request, report *message.Report) {
 	l := n.leading.Load()
 	if l == nil {
 		leader := n.Leader()
 		r.Reply(message.ReportReply{Term: leader.Term, Leader: leader.Address})
 		return
 	}
-	r.Reply(l.report(r.Conn, report))
+	r.Reply(l.report(ctx, r.Conn, report))
 	l.dispatch()
 	l.commit()
 }
@@ -69,7 +69,7 @@
 }
 
 func (n *Node) handleSubmitted(_ peer.Request, s *message.Submitted) {
-	l := n.leading.Load()
+	l := n.leadingLoaded()
 	if l == nil || s.Definition == nil {
 		return // the entry repeats it to the leader
 	}
@@ -80,7 +80,7 @@
 }
 
 func (n *Node) handleCancelled(_ peer.Request, c *message.JobRef) {
-	if l := n.leading.Load(); l != nil {
+	if l := n.leadingLoaded(); l != nil {
 		l.cancel(c.Job, "entry")
 		l.dispatch()
 	}
--- a/process/lead/intake.go
+++ b/process/lead/intake.go
@@ -57,7 +57,7 @@
 		return
 	}
 	n.states.set(stored.ID, stored.Definition.Profile, job.Accepted)
-	if l := n.leading.Load(); l != nil {
+	if l := n.leadingLoaded(); l != nil {
 		l.accept(stored, "caller")
 		l.dispatch()
 		return
@@ -109,7 +109,7 @@
 	if state, known = n.states.get(id); known {
 		return state, true, nil
 	}
-	if l := n.leading.Load(); l != nil {
+	if l := n.leadingLoaded(); l != nil {
 		if state, known = l.table.State(id); known {
 			return state, true, nil
 		}
@@ -149,7 +149,7 @@
 		return true, storeFailure(err, maybe)
 	}
 	n.cfg.Log.Emit(event.JobCancelWanted, "job", id, "source", "caller")
-	if l := n.leading.Load(); l != nil {
+	if l := n.leadingLoaded(); l != nil {
 		l.cancel(id, "caller")
 		l.dispatch()
 		return true, nil
--- a/process/lead/leading.go
+++ b/process/lead/leading.go
@@ -41,6 +41,8 @@
 	table  *schedule.Table
 	writer *jobstore.Writer
 
+	// loaded is set once the table holds the jobs of earlier terms.
+	loaded atomic.Bool
 	// Each is set while its work is under way or wanted.
 	dispatching, dispatchWanted atomic.Bool
 	committing, reading         atomic.Bool
@@ -149,6 +151,15 @@
 
 // tick does what is due; the node's ticker calls it.
 func (l *leading) tick(_ context.Context, now time.Time) {
+	if !l.loaded.Load() {
+		l.mu.Lock()
+		due := now.Sub(l.mu.lastUpdate) >= l.node.cfg.Timing.Silence/beatsPerSilence
+		l.mu.Unlock()
+		if due {
+			l.sendUpdates(true)
+		}
+		return
+	}
 	l.table.Tick(now)
 	l.dispatch()
 	l.mu.Lock()
@@ -188,7 +199,7 @@
 // pass is under way are served by one more pass.
 func (l *leading) dispatch() {
 	l.dispatchWanted.Store(true)
-	if !l.dispatching.CompareAndSwap(false, true) {
+	if !l.loaded.Load() || !l.dispatching.CompareAndSwap(false, true) {
 		return
 	}
 	for l.dispatchWanted.Swap(false) {
@@ -226,6 +237,9 @@
 
 // commit writes what has changed, with a beat when one is due.
 func (l *leading) commit() {
+	if !l.loaded.Load() {
+		return
+	}
 	now := l.node.cfg.Clock.Now()
 	l.mu.Lock()
 	beatDue := now.Sub(l.mu.lastCommit) >= l.node.cfg.Timing.Silence/beatsPerSilence
@@ -380,7 +394,9 @@
 }
 
 // readInbox takes in jobs and cancellings whose entry did not tell of them.
-func (l *leading) readInbox(ctx context.Context) {
+func (l *leading) readInbox(ctx context.Context) { _ = l.lookIntoInbox(ctx) }
+
+func (l *leading) lookIntoInbox(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, l.node.cfg.Timing.Call)
 	defer cancel()
 	l.mu.Lock()
@@ -393,7 +409,7 @@
 	}
 	if err != nil {
 		l.node.cfg.Metrics.Add("inbox_read_failed", 1)
-		return
+		return err
 	}
 	for i := range in.Jobs {
 		l.accept(&in.Jobs[i], "store")
@@ -405,6 +421,7 @@
 	l.mu.inboxRev = max(l.mu.inboxRev, in.Revision)
 	l.mu.Unlock()
 	l.dispatch()
+	return nil
 }
 
 // reload reads everything that entries wrote, for a history that is gone.
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -88,6 +88,8 @@
 	ticker    *pool.Ticker
 	// leading is the term that this process leads; nil while it follows.
 	leading atomic.Pointer[leading]
+	// leaving is set once this process is to end.
+	leaving atomic.Bool
 	// busy is set while a step of the watch is carried out.
 	busy atomic.Bool
 
@@ -118,21 +120,27 @@
 	n.ticker = n.cfg.Pool.Every(tickInterval, n.tick)
 }
 
-// Stop ends the node. A leader gives its term up, so that another entry takes
-// over at once; its agents and runs go on.
-func (n *Node) Stop(ctx context.Context) {
-	if n.ticker == nil {
-		return
+// HandOver gives a term up in good order, once there is an entry to take it
+// over, or when ctx ends; this entry begins no further term.
+func (n *Node) HandOver(ctx context.Context) {
+	n.leaving.Store(true)
+	for l := n.leading.Load(); l != nil && ctx.Err() == nil; l = n.leading.Load() {
+		if l.loaded.Load() && len(l.followerConns()) > 0 {
+			l.resign(ctx)
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-n.cfg.Clock.After(tickInterval):
+		}
 	}
-	n.ticker.Stop()
 	if l := n.leading.Load(); l != nil {
-		l.resign(ctx)
+		n.stepDown(l, "process stops")
 	}
-	n.storePool.Close()
 }
 
-// Abort ends the node without a word to the others.
-func (n *Node) Abort() {
+// Stop ends the node; HandOver comes before.
+func (n *Node) Stop() {
 	if n.ticker == nil {
 		return
 	}
@@ -140,6 +148,38 @@
 	n.storePool.Close()
 }
 
+// leadingLoaded returns the term that this process leads, once it knows the
+// jobs of earlier terms; else nil.
+func (n *Node) leadingLoaded() *leading {
+	if l := n.leading.Load(); l != nil && l.loaded.Load() {
+		return l
+	}
+	return nil
+}
+
+// serveOwnNotices takes in what this process could tell no leader before it led.
+func (n *Node) serveOwnNotices(l *leading) {
+	if !l.loaded.Load() {
+		return
+	}
+	n.mu.Lock()
+	pending := n.pending
+	if len(pending) > 0 {
+		n.pending = map[string]*notice{}
+	}
+	n.mu.Unlock()
+	for _, note := range pending {
+		switch body := note.body.(type) {
+		case *message.Submitted:
+			l.accept(&jobstore.Stored{
+				ID: body.Definition.ID, Definition: body.Definition, Term: body.Term, Revision: body.Revision,
+			}, "caller")
+		case *message.JobRef:
+			l.cancel(body.Job, "caller")
+		}
+	}
+}
+
 // Leads reports whether this process leads, and the newest term known.
 func (n *Node) Leads() (leads bool, number uint64) {
 	n.mu.Lock()
@@ -159,6 +199,7 @@
 	now := n.cfg.Clock.Now()
 	if l := n.leading.Load(); l != nil {
 		l.tick(ctx, now)
+		n.serveOwnNotices(l)
 		return
 	}
 	n.states.expire(now)
@@ -166,7 +207,7 @@
 	n.mu.Lock()
 	step := n.watch.Next(now)
 	n.mu.Unlock()
-	if step == term.Nothing || !n.busy.CompareAndSwap(false, true) {
+	if step == term.Nothing || (step == term.ClaimTerm && n.leaving.Load()) || !n.busy.CompareAndSwap(false, true) {
 		return
 	}
 	err := n.storePool.Submit(func(ctx context.Context) {
@@ -238,13 +279,18 @@
 	n.follow = nil
 	n.mu.Unlock()
 	l := newLeading(n, previous, view)
+	// From now on this process answers as the leader, so that no other entry
+	// takes the term for free while the jobs are read.
+	n.leading.Store(l)
+	l.announce()
 	if err := l.load(ctx); err != nil {
 		n.cfg.Log.Emit(event.TermNotBegun, "term", view.Term, "error", err)
+		n.stepDown(l, "jobs could not be read")
 		return // another entry, or this one, begins the next term
 	}
-	n.leading.Store(l)
-	n.cfg.Log.Emit(event.TermBegun, "term", view.Term, "jobs", l.table.Load().Jobs, "unproven", l.table.Load().Unproven)
-	l.announce()
+	l.loaded.Store(true)
+	load := l.table.Load()
+	n.cfg.Log.Emit(event.TermBegun, "term", view.Term, "jobs", load.Jobs, "unproven", load.Unproven)
 }
 
 // stepDown ends a term that this process leads.
--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -83,6 +83,23 @@
 	return reply
 }
 
+// Knows reports whether all jobs that a report names are in the table.
+func (t *Table) Knows(r *message.Report) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range r.Running {
+		if t.jobs[r.Running[i].Key.Task.Job] == nil {
+			return false
+		}
+	}
+	for i := range r.Ends {
+		if t.jobs[r.Ends[i].Key.Task.Job] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // attach begins a session. Runs of the previous session of the same agent stay
 // until its full report tells what has become of them.
 func (t *Table) attach(old *agentState, r *message.Report) *agentState {
--- a/process/schedule/pressure.go
+++ b/process/schedule/pressure.go
@@ -22,7 +22,7 @@
 	readingAge = 3 * time.Second
 	// servingMargin is kept between the utilization of a serving task and its
 	// target when a filling task is placed beside it.
-	servingMargin = 0.05
+	servingMargin = 0.15
 	// placeAhead is how far ahead the load of serving tasks is looked at.
 	placeAhead = time.Second
 )
--- a/request/interference/pacing.go
+++ b/request/interference/pacing.go
@@ -40,7 +40,7 @@
 
 // DefaultPaceConfig returns the default thresholds.
 func DefaultPaceConfig() PaceConfig {
-	return PaceConfig{Margin: 0.06, Ahead: 600 * time.Millisecond, Step: 30, Grain: 10, OverLimit: 1500 * time.Millisecond}
+	return PaceConfig{Margin: 0.02, Ahead: 600 * time.Millisecond, Step: 30, Grain: 10, OverLimit: 1500 * time.Millisecond}
 }
 
 // Paces returns the pace of each filling task, in the order of the tasks: the
