process/schedule, process/runs: place only after changes, end the runs of a worker that is gone

Change: a pass over what waits follows a change; pressures are worked out once a pass and worker; log lines go through a bounded buffer with one writer; a worker that does not answer gets no longer lease, and a call that was not sent extends none; a report may take a third of the lease. Ruled out: the cost of a report itself (11 agents, 4% of an entry).

--- a/cmd/camphorhead/main.go
+++ b/cmd/camphorhead/main.go
@@ -15,6 +15,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/logsink"
 	"camphorhead.example/camphorhead/process/settings"
 )
 
@@ -73,7 +74,9 @@
 }
 
 func serve(cfg settings.Settings, opts options) int {
-	log, err := event.New(os.Stdout, cfg.Log.Format, cfg.Log.Level)
+	sink := logsink.New(os.Stdout, logsink.DefaultBytes, nil)
+	defer sink.Close()
+	log, err := event.New(sink, cfg.Log.Format, cfg.Log.Level)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "camphorhead:", err)
 		return exitSettings
--- a/process/agent/node.go
+++ b/process/agent/node.go
@@ -11,6 +11,11 @@
 	"camphorhead.example/camphorhead/process/runs"
 )
 
+// reportsPerLease is how many reports may go unanswered, one after the other,
+// before a lease is over: a slow leader must not lose its agents, and a
+// connection that has gone silent must not cost them their runs.
+const reportsPerLease = 3
+
 // newNode returns this agent's part in running tasks.
 func (a *Agent) newNode(deps Deps) *runs.Node {
 	return runs.New(runs.Config{
@@ -18,7 +23,8 @@
 		Worker: deps.Runner, Ledger: a.ledger, Net: a.net, Pool: a.pool, Metrics: a.metrics,
 		Timing: runs.Timing{
 			Heartbeat: a.cfg.Lease.Heartbeat(), WorkerLease: a.cfg.Lease.Worker(),
-			Call: a.cfg.Limits.CallTimeout(), WorkerCall: a.cfg.Limits.CallTimeout() / 2,
+			Report: a.cfg.Lease.Task() / reportsPerLease,
+			Call:   a.cfg.Limits.CallTimeout(), WorkerCall: a.cfg.Limits.CallTimeout() / 2,
 		},
 		Seeds: a.cfg.Entries.Seeds, ReadLeader: deps.ReadLeader, ConfigVersion: a.ConfigVersion,
 	})
--- /dev/null
+++ b/process/jobstore/fake_test.go
@@ -0,0 +1,118 @@
+package jobstore
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"time"
+
+	"camphorhead.example/camphorhead/process/platform"
+)
+
+// fault is what happens to one transaction of the fake store.
+type fault int
+
+const (
+	answered fault = iota
+	refused        // nothing is done, and the caller is told so
+	dropped        // nothing is done, no answer
+	unheard        // done, no answer
+	delayed        // done later if its conditions still hold, no answer
+)
+
+// fakeStore is a store in memory whose transactions fail on demand. It is used
+// by one goroutine.
+type fakeStore struct {
+	revision uint64
+	items    map[string]platform.KV
+	log      []platform.Change
+	fault    func() fault
+	late     []platform.Txn
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{items: map[string]platform.KV{}, fault: func() fault { return answered }, revision: 1}
+}
+
+func (f *fakeStore) Read(_ context.Context, key string) (platform.KV, error) {
+	if kv, ok := f.items[key]; ok {
+		return kv, nil
+	}
+	return platform.KV{Key: key}, nil
+}
+
+func (f *fakeStore) List(_ context.Context, prefix string) ([]platform.KV, uint64, error) {
+	var list []platform.KV
+	for key, kv := range f.items {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, kv)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	return list, f.revision, nil
+}
+
+func (f *fakeStore) Commit(_ context.Context, t platform.Txn) (uint64, error) {
+	switch f.fault() {
+	case refused:
+		return 0, platform.ErrUnavailable
+	case dropped:
+		return 0, platform.ErrUncertain
+	case unheard:
+		_, _ = f.apply(t)
+		return 0, platform.ErrUncertain
+	case delayed:
+		f.late = append(f.late, t)
+		return 0, platform.ErrUncertain
+	case answered:
+	}
+	return f.apply(t)
+}
+
+func (f *fakeStore) apply(t platform.Txn) (uint64, error) {
+	if t.Size() > platform.MaxTxnEntries {
+		panic("transaction is too large")
+	}
+	holds := true
+	conflict := &platform.ConflictError{}
+	for _, e := range t.Expect {
+		kv := f.items[e.Key]
+		kv.Key = e.Key
+		conflict.Items = append(conflict.Items, kv)
+		holds = holds && kv.Revision == e.Revision
+	}
+	if !holds {
+		return 0, conflict
+	}
+	f.revision++
+	for _, p := range t.Puts {
+		kv := platform.KV{Key: p.Key, Value: p.Value, Revision: f.revision}
+		f.items[p.Key] = kv
+		f.log = append(f.log, platform.Change{KV: kv})
+	}
+	for _, key := range t.Deletes {
+		if _, ok := f.items[key]; ok {
+			delete(f.items, key)
+			f.log = append(f.log, platform.Change{KV: platform.KV{Key: key, Revision: f.revision}, Deleted: true})
+		}
+	}
+	return f.revision, nil
+}
+
+// carryOutLate applies the delayed transactions whose conditions still hold.
+func (f *fakeStore) carryOutLate() {
+	for _, t := range f.late {
+		_, _ = f.apply(t)
+	}
+	f.late = nil
+}
+
+func (f *fakeStore) Changes(_ context.Context, prefix string, after uint64, _ time.Duration) ([]platform.Change, uint64, error) {
+	var list []platform.Change
+	for _, c := range f.log {
+		if c.Revision > after && strings.HasPrefix(c.Key, prefix) {
+			list = append(list, c)
+		}
+	}
+	return list, f.revision, nil
+}
--- a/process/lockrank/rank.go
+++ b/process/lockrank/rank.go
@@ -30,4 +30,5 @@
 	RankCalls          Rank = 80
 	RankTimeline       Rank = 90
 	RankMetrics        Rank = 95
+	RankLog            Rank = 99
 )
--- /dev/null
+++ b/process/logsink/logsink_test.go
@@ -0,0 +1,80 @@
+package logsink
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// gate is an output that blocks until it is opened.
+type gate struct {
+	mu   sync.Mutex
+	open chan struct{}
+	got  bytes.Buffer
+}
+
+func (g *gate) Write(p []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.got.Write(p)
+}
+
+func (g *gate) text() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.got.String()
+}
+
+func reportLine(n int64) []byte { return []byte(fmt.Sprintf("dropped %d\n", n)) }
+
+// Guards against a request that waits for a stuck output, against memory that
+// grows with it, and against lines that vanish without a count.
+func TestStuckOutputDropsAndCounts(t *testing.T) {
+	out := &gate{open: make(chan struct{})}
+	s := New(out, 1000, reportLine)
+	began := time.Now()
+	for range 10_000 {
+		_, _ = s.Write([]byte("0123456789\n"))
+	}
+	require.Less(t, time.Since(began), time.Second)
+	require.Greater(t, s.Dropped(), int64(9000))
+	close(out.open)
+	s.Close()
+	require.Contains(t, out.text(), fmt.Sprintf("dropped %d\n", s.Dropped()))
+	require.Equal(t, 10_000-int(s.Dropped()), strings.Count(out.text(), "0123456789\n"))
+}
+
+// Guards against decisions that are dropped while there is room that other
+// lines must not use.
+func TestDecisionsAreDroppedLast(t *testing.T) {
+	out := &gate{open: make(chan struct{})}
+	s := New(out, 1000, nil)
+	for range 200 {
+		_, _ = s.Write([]byte("plain....\n"))
+	}
+	before := s.Dropped()
+	_, _ = s.Decisions().Write([]byte("decision\n"))
+	require.Equal(t, before, s.Dropped())
+	close(out.open)
+	s.Close()
+	require.Contains(t, out.text(), "decision\n")
+}
+
+// Guards against lines that are lost or torn when the process ends.
+func TestCloseWritesWhatWaits(t *testing.T) {
+	out := &gate{open: make(chan struct{})}
+	close(out.open)
+	s := New(out, DefaultBytes, nil)
+	for i := range 100 {
+		_, _ = fmt.Fprintf(s, "line %d\n", i)
+	}
+	s.Close()
+	require.Equal(t, 100, strings.Count(out.text(), "\n"))
+	require.Zero(t, s.Dropped())
+}
--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -146,18 +146,25 @@
 func (n *Node) startRun(ctx context.Context, r *run) {
 	dials := 0
 	for ctx.Err() == nil {
-		req, wanted := n.startRequest(r)
+		req, end, wanted := n.startRequest(r)
 		if !wanted {
 			return
 		}
 		if req.LeaseUntilMs == 0 {
-			n.refuse(r, "no lease")
-			return
+			if !n.hasUnanswered(r) {
+				n.refuse(r, "no lease")
+				return
+			}
+			// A copy may have been carried out; the worker's answer or the end of
+			// its lease settles that.
+			n.sleep(ctx, startPause)
+			continue
 		}
 		began := n.cfg.Clock.Now()
 		bounded, cancel := context.WithTimeout(ctx, n.cfg.Timing.WorkerCall)
 		clockMs, err := n.cfg.Worker.Start(bounded, req)
 		cancel()
+		n.noteLease(end, err)
 		var refusal *platform.RefusalError
 		switch {
 		case err == nil:
@@ -191,24 +198,26 @@
 }
 
 // startRequest builds the call; wanted is false once the run is settled.
-func (n *Node) startRequest(r *run) (req platform.RunRequest, wanted bool) {
+func (n *Node) startRequest(r *run) (req platform.RunRequest, end time.Time, wanted bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.runs[r.order.Key] != r || !r.confirmed.IsZero() {
-		return req, false
+		return req, end, false
 	}
 	req = platform.RunRequest{
 		RunKey: r.order.Key, Token: n.token, Instance: n.instance, Checkpoint: r.order.Checkpoint,
 		Ticket: r.order.Ticket, Input: n.inputs[r.order.Key.Task.Job], Need: r.order.Need,
 	}
-	if until, ok := n.leaseUntil(n.cfg.Clock.Now()); ok {
-		req.LeaseUntilMs = until
+	req.LeaseUntilMs, end = n.leaseUntil(n.cfg.Clock.Now())
+	if n.silent && end.After(n.held) {
+		// A worker that does not answer gets no longer lease.
+		req.LeaseUntilMs, end = 0, time.Time{}
 	}
 	if r.stopping && r.unanswered.IsZero() {
 		// It was not sent yet and is not wanted any more.
 		req.LeaseUntilMs = 0
 	}
-	return req, true
+	return req, end, true
 }
 
 func (n *Node) started(r *run, clockMs int64, began time.Time) {
--- a/process/runs/link.go
+++ b/process/runs/link.go
@@ -179,13 +179,15 @@
 	if address == "" || !l.node.ready() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, l.node.cfg.Timing.Call)
-	defer cancel()
-	conn, err := l.node.cfg.Net.Conn(ctx, address)
+	dialing, cancel := context.WithTimeout(ctx, l.node.cfg.Timing.Call)
+	conn, err := l.node.cfg.Net.Conn(dialing, address)
+	cancel()
 	if err != nil {
 		l.lose(address, err.Error())
 		return
 	}
+	ctx, cancel = context.WithTimeout(ctx, l.node.cfg.Timing.Report)
+	defer cancel()
 	now := l.node.cfg.Clock.Now()
 	r := l.build(now)
 	var reply message.ReportReply
--- a/process/runs/node.go
+++ b/process/runs/node.go
@@ -36,7 +36,9 @@
 	// WorkerLease is how far ahead the worker's lease is kept, as long as the
 	// leader's grant allows it.
 	WorkerLease time.Duration
-	// Call bounds a call to another process, WorkerCall one to the worker.
+	// Report bounds the answer to a report, Call any other call to another
+	// process, WorkerCall one to the worker.
+	Report     time.Duration
 	Call       time.Duration
 	WorkerCall time.Duration
 }
@@ -92,6 +94,8 @@
 	// granted is the end of the leader's grant, held the end of the lease that
 	// was last asked of the worker.
 	granted, held time.Time
+	// silent is set while the worker does not answer.
+	silent bool
 	// listedAt is when the worker last listed its runs; zero: never.
 	listedAt time.Time
 	lifeMs   int64 // of the life that was listed
--- /dev/null
+++ b/process/runs/runs_test.go
@@ -0,0 +1,237 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/process/platform"
+	"camphorhead.example/camphorhead/request/job"
+)
+
+// Guards against a start without an answer that is given up although it may be
+// carried out, or that is carried out late beside the repetition.
+func TestUnansweredStartIsFencedOff(t *testing.T) {
+	for _, first := range []answerTo{late, unheard} {
+		r := newRig(t)
+		k := runKey("j", 1)
+		calls := 0
+		r.worker.setAnswer(func(call string) answerTo {
+			if call != "start" {
+				return answered
+			}
+			if calls++; calls == 1 {
+				return first
+			}
+			return answered
+		})
+		r.order(r.node, k)
+		r.eventually("the run is confirmed", func() bool { return r.node.confirmed(k) })
+		require.True(t, r.worker.has(k))
+		r.worker.finish(k, job.EndDone)
+		r.look(r.node)
+		r.worker.carryOutLate()
+		require.False(t, r.worker.has(k), "the late copy ran after the end")
+		report := full(r.node)
+		require.Empty(t, report.Running)
+		require.Len(t, report.Ends, 1)
+		require.Equal(t, job.EndDone, report.Ends[0].How)
+	}
+}
+
+// Guards against a full report that leaves out a start that is still under way.
+func TestFullReportNamesStartsUnderWay(t *testing.T) {
+	r := newRig(t)
+	k := runKey("j", 1)
+	r.worker.setAnswer(func(call string) answerTo {
+		if call == "start" {
+			return late
+		}
+		return answered
+	})
+	r.order(r.node, k)
+	report := full(r.node)
+	require.Len(t, report.Running, 1)
+	require.Equal(t, k, report.Running[0].Key)
+}
+
+// Guards against an end that the worker forgets before it is durable, and
+// against one that is reported again under another serial and then skipped.
+func TestEndsAreKeptUntilRecorded(t *testing.T) {
+	r := newRig(t)
+	a, b := runKey("a", 1), runKey("b", 1)
+	r.order(r.node, a, b)
+	r.eventually("both run", func() bool { return r.node.confirmed(a) && r.node.confirmed(b) })
+	r.worker.finish(a, job.EndDone)
+	r.worker.finish(b, job.EndDone)
+	r.look(r.node)
+	require.Len(t, full(r.node).Ends, 2)
+	session := r.node.link.session
+	r.node.recorded(1, session)
+	r.look(r.node)
+	require.Equal(t, uint64(1), r.worker.seen)
+	r.node.recorded(2, session-1)
+	r.look(r.node)
+	require.Equal(t, uint64(1), r.worker.seen, "a serial of another session was taken")
+	again := full(r.node)
+	require.Len(t, again.Ends, 1)
+	require.Equal(t, b, again.Ends[0].Key)
+	r.node.recorded(again.Ends[0].Serial, session)
+	r.look(r.node)
+	require.Equal(t, uint64(2), r.worker.seen)
+}
+
+// Guards against a lease at the worker that reaches beyond the leader's grant.
+func TestWorkerLeaseEndsWithTheGrant(t *testing.T) {
+	r := newRig(t)
+	k := runKey("j", 1)
+	r.order(r.node, k)
+	r.eventually("the run is confirmed", func() bool { return r.node.confirmed(k) })
+	granted := r.node.granted
+	for r.clock.Now().Before(granted.Add(time.Second)) {
+		r.look(r.node)
+		r.worker.mu.Lock()
+		until := r.worker.until
+		r.worker.mu.Unlock()
+		require.False(t, until.After(granted), "lease until %s, granted until %s", until, granted)
+		r.clock.Advance(100 * time.Millisecond)
+	}
+	require.False(t, r.worker.has(k))
+}
+
+// Guards against a worker that is gone for good: its runs must be reported as
+// ended once its lease is over, although the leader goes on granting.
+func TestRunsOfAGoneWorkerLapse(t *testing.T) {
+	for _, silence := range []answerTo{notSent, late} {
+		r := newRig(t)
+		k := runKey("j", 1)
+		r.order(r.node, k)
+		r.eventually("the run is confirmed", func() bool { return r.node.confirmed(k) })
+		r.worker.setAnswer(always(silence))
+		began := r.clock.Now()
+		for r.node.holds(k) {
+			require.Less(t, r.clock.Since(began), 2*testWorkerLease, "runs of a worker that does not answer never end")
+			r.node.grant(r.clock.Now().Add(testGrant))
+			r.look(r.node)
+			r.node.concludeLapse(r.clock.Now())
+			r.clock.Advance(100 * time.Millisecond)
+		}
+		require.False(t, r.worker.has(k), "reported as ended while it runs")
+		report := full(r.node)
+		require.Len(t, report.Ends, 1)
+		require.Equal(t, job.EndLapsed, report.Ends[0].How)
+	}
+}
+
+// Guards against runs of a worker's previous life that are kept, and against
+// ends of that life whose numbers are taken for those of the next.
+func TestNextLifeOfTheWorker(t *testing.T) {
+	r := newRig(t)
+	a, b := runKey("a", 1), runKey("b", 1)
+	r.order(r.node, a, b)
+	r.eventually("both run", func() bool { return r.node.confirmed(a) && r.node.confirmed(b) })
+	r.worker.finish(a, job.EndDone)
+	r.look(r.node)
+	r.worker.reborn()
+	r.clock.Advance(testHeartbeat)
+	r.look(r.node)
+	report := full(r.node)
+	require.Empty(t, report.Running)
+	require.Len(t, report.Ends, 2)
+	require.Equal(t, message.RunEnd{Key: a, How: job.EndDone, Serial: 1}, report.Ends[0])
+	require.Equal(t, job.EndLapsed, report.Ends[1].How)
+	r.node.recorded(2, r.node.link.session)
+	c := runKey("c", 1)
+	r.order(r.node, c)
+	r.eventually("the next one runs", func() bool { return r.node.confirmed(c) })
+	r.worker.finish(c, job.EndDone)
+	r.look(r.node)
+	require.Len(t, full(r.node).Ends, 1, "the first end of the new life was taken for recorded")
+}
+
+// Guards against a new agent process that does not take over what runs, and
+// against starts beside a run whose size it has not been told.
+func TestNextProcessTakesOver(t *testing.T) {
+	r := newRig(t)
+	k := runKey("j", 1)
+	r.order(r.node, k)
+	r.eventually("the run is confirmed", func() bool { return r.node.confirmed(k) })
+	next := r.newNode()
+	report := full(next)
+	require.Len(t, report.Running, 1)
+	require.Equal(t, k, report.Running[0].Key)
+	other := runKey("o", 1)
+	r.order(next, other)
+	delta := message.Report{}
+	next.fill(&delta, 0)
+	require.Len(t, delta.Refused, 1)
+	next.orders(&message.Orders{Adopted: []message.StartRun{{Key: k, Need: testNeed, Charge: testNeed}}})
+	r.order(next, runKey("o", 2))
+	r.eventually("a start is taken once the size is known", func() bool { return next.confirmed(runKey("o", 2)) })
+	// The previous process's calls do nothing any more.
+	_, err := r.worker.Start(t.Context(), platform.RunRequest{RunKey: runKey("x", 1), Token: r.node.token, LeaseUntilMs: 1 << 40})
+	require.Error(t, err)
+}
+
+// Guards against more runs than the worker has room for.
+func TestRoomIsNotExceeded(t *testing.T) {
+	r := newRig(t)
+	var keys []job.RunKey
+	for i := range uint32(12) {
+		keys = append(keys, job.RunKey{Task: job.TaskID{Job: "j", Index: int(i)}, Run: 1})
+	}
+	r.order(r.node, keys...)
+	r.eventually("eight run", func() bool { return len(r.node.Running()) == 8 && r.worker.count == 0 })
+	report := message.Report{}
+	r.node.fill(&report, 0)
+	require.Len(t, report.Refused, 4)
+}
+
+// Guards against an end before a lapse of the worker's lease that is taken as
+// noted although the platform does not count it.
+func TestEndsBeforeALapseAreVoid(t *testing.T) {
+	r := newRig(t)
+	a, b := runKey("a", 1), runKey("b", 1)
+	r.order(r.node, a, b)
+	r.eventually("both run", func() bool { return r.node.confirmed(a) && r.node.confirmed(b) })
+	r.worker.finish(a, job.EndDone)
+	r.clock.Advance(testWorkerLease + time.Second) // the process was paused
+	r.node.grant(r.clock.Now().Add(testGrant))
+	r.look(r.node)
+	report := full(r.node)
+	require.Len(t, report.Ends, 2)
+	require.True(t, report.Ends[0].Void)
+	require.Equal(t, job.EndLapsed, report.Ends[1].How)
+}
+
+// Guards against a stop that is forgotten when the worker does not answer, and
+// against a run that starts after it was stopped.
+func TestStopsAreRepeatedAndHold(t *testing.T) {
+	r := newRig(t)
+	k := runKey("j", 1)
+	r.order(r.node, k)
+	r.eventually("the run is confirmed", func() bool { return r.node.confirmed(k) })
+	r.worker.setAnswer(func(call string) answerTo {
+		if call == "stop" {
+			return late
+		}
+		return answered
+	})
+	r.node.orders(&message.Orders{Stops: []message.StopRun{{Key: k}}})
+	r.worker.setAnswer(always(answered))
+	r.eventually("the run has ended", func() bool {
+		r.node.repeatStops(r.clock.Now())
+		r.clock.Advance(stopInterval)
+		r.look(r.node)
+		return !r.node.holds(k)
+	})
+	unknown := runKey("u", 3)
+	r.node.orders(&message.Orders{Stops: []message.StopRun{{Key: unknown}}})
+	r.eventually("the stop reaches the worker", func() bool {
+		r.worker.mu.Lock()
+		defer r.worker.mu.Unlock()
+		return r.worker.highest[unknown.Task] == 3
+	})
+}
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -46,48 +46,60 @@
 
 // look asks the worker once; it reports whether the worker answered.
 func (n *Node) look(ctx context.Context, sent time.Time) bool {
-	req := n.holdRequest(sent)
+	req, end := n.holdRequest(sent)
 	bounded, cancel := context.WithTimeout(ctx, req.Wait+n.cfg.Timing.WorkerCall)
 	defer cancel()
 	list, err := n.cfg.Worker.Hold(bounded, req)
 	now := n.cfg.Clock.Now()
+	held := n.noteLease(end, err)
 	if err != nil {
 		n.lookFailed(now, err)
 		return false
 	}
-	n.listed(sent, now, &list)
+	n.listed(sent, now, held, &list)
 	return true
 }
 
-// holdRequest builds the question, with the lease as far as it may reach.
-func (n *Node) holdRequest(now time.Time) platform.HoldRequest {
+// holdRequest builds the question, with the lease as far as it may reach and
+// its end. A worker that did not answer the question before gets no longer lease,
+// so that what runs there ends within a known time.
+func (n *Node) holdRequest(now time.Time) (req platform.HoldRequest, end time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	req := platform.HoldRequest{Token: n.token, Wait: holdWait, Instance: n.instance, Recorded: n.lastRecorded}
-	if until, ok := n.leaseUntil(now); ok {
-		req.LeaseUntilMs = until
+	req = platform.HoldRequest{Token: n.token, Wait: holdWait, Instance: n.instance, Recorded: n.lastRecorded}
+	if !n.silent {
+		req.LeaseUntilMs, end = n.leaseUntil(now)
 	}
 	if n.listedAt.IsZero() {
 		req.Wait, req.Instance = 0, "" // the first listing shows what this process has to take over
 	}
-	return req
+	return req, end
 }
 
-// leaseUntil returns the end of the lease to ask for, in the worker's clock.
-// The caller holds mu.
-func (n *Node) leaseUntil(now time.Time) (untilMs int64, ok bool) {
-	end := now.Add(n.cfg.Timing.WorkerLease)
+// leaseUntil returns the end of the lease to ask for, in the worker's clock and
+// in ours; zero if there is none. The caller holds mu.
+func (n *Node) leaseUntil(now time.Time) (untilMs int64, end time.Time) {
+	end = now.Add(n.cfg.Timing.WorkerLease)
 	if n.granted.Before(end) {
 		end = n.granted
 	}
-	left := end.Sub(n.clock.readAt)
 	if n.clock.readAt.IsZero() || !end.After(now) {
-		return 0, false
+		return 0, time.Time{}
 	}
-	if end.After(n.held) {
+	left := end.Sub(n.clock.readAt)
+	return n.clock.valueMs + int64(float64(left.Milliseconds())*clockRate), end
+}
+
+// noteLease notes the end of a lease that a call has, or may have, asked of the
+// worker, and returns the end of the one before.
+func (n *Node) noteLease(end time.Time, err error) (before time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	before = n.held
+	if !errors.Is(err, platform.ErrUnavailable) && end.After(n.held) {
 		n.held = end
 	}
-	return n.clock.valueMs + int64(float64(left.Milliseconds())*clockRate), true
+	return before
 }
 
 // noteClock takes in a reading of the worker's clock. The caller holds mu.
@@ -101,6 +113,7 @@
 	var refusal *platform.RefusalError
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.silent = !errors.As(err, &refusal)
 	switch {
 	case errors.As(err, &refusal) && refusal.Reason == platform.RefusedFenced:
 		n.token += tokenStep
@@ -113,10 +126,12 @@
 	}
 }
 
-// listed takes in a listing. sent is when the worker was asked.
-func (n *Node) listed(sent, now time.Time, list *platform.Listing) {
+// listed takes in a listing. sent is when the worker was asked, held the end of
+// the lease that it had before.
+func (n *Node) listed(sent, now, held time.Time, list *platform.Listing) {
 	n.mu.Lock()
-	lapsed := n.noteLife(sent, now, list)
+	n.silent = false
+	lapsed := n.noteLife(sent, now, held, list)
 	if !n.worker.Present {
 		n.worker.Present, n.changed = true, true
 		n.cfg.Log.Emit(event.WorkerAnswers, "worker", n.worker.ID, "silent_ms", sinceOrZero(now, n.listedAt))
@@ -169,15 +184,15 @@
 // noteLife takes in which life of the worker has answered, and its clock. It
 // reports whether the lease had run out before this question renewed it. The
 // caller holds mu.
-func (n *Node) noteLife(sent, now time.Time, list *platform.Listing) (lapsed bool) {
+func (n *Node) noteLife(sent, now, held time.Time, list *platform.Listing) (lapsed bool) {
 	if n.lifeMs != list.BornMs {
 		if n.lifeMs != 0 {
 			n.cfg.Log.Emit(event.WorkerReborn, "worker", n.worker.ID, "tasks", len(n.runs))
 		}
 		n.lifeMs, n.lastRecorded, n.clock = list.BornMs, 0, workerClock{}
 		n.changed = true
-	} else if n.clock.lifeMs == list.BornMs && !n.held.IsZero() {
-		lapsed = sent.After(n.held) && len(n.runs) > 0
+	} else if n.clock.lifeMs == list.BornMs && !held.IsZero() {
+		lapsed = sent.After(held) && len(n.runs) > 0
 	}
 	n.noteClock(list.BornMs, list.ClockMs, now)
 	return lapsed
--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -107,6 +109,7 @@
 	if a == nil {
 		a = &agentState{id: r.Agent, runs: map[job.RunKey]*runState{}, serving: map[job.RunKey]reading{}}
 		t.agents[r.Agent] = a
+		t.sortAgents()
 	}
 	a.address, a.location, a.session = r.Address, r.Location, r.Session
 	a.sequence, a.ends, a.recorded, a.told = 0, nil, 0, 0
@@ -120,6 +123,7 @@
 		a.health = health{}
 	}
 	a.worker = *w
+	t.changedRoom = true
 	a.node.Service, a.node.Labels, a.node.Rack = w.Service, w.Labels, w.Rack
 	a.node.Region, a.node.Capacity = a.location.Region, w.Capacity
 }
@@ -246,6 +250,7 @@
 	}
 	delete(a.runs, run.key())
 	t.occupy(run, -1)
+	t.changedRoom = true
 	if run.task.step.def.TargetMs > 0 {
 		delete(a.serving, run.key())
 		t.pressure.Forget(run.task.id().String())
@@ -316,6 +321,12 @@
 		}
 	}
 	delete(t.agents, a.id)
+	t.sortAgents()
+}
+
+func (t *Table) sortAgents() {
+	t.sorted = slices.SortedFunc(maps.Values(t.agents), func(a, b *agentState) int { return cmp.Compare(a.id, b.id) })
+	t.changedRoom = true
 }
 
 // prove lets the unfinished tasks of the previous term wait for workers once
@@ -384,6 +395,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.registered = map[string]bool{}
+	t.changedRoom = true
 	for _, id := range agents {
 		t.registered[id] = true
 	}
--- a/process/schedule/place.go
+++ b/process/schedule/place.go
@@ -7,6 +7,7 @@
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/placement"
 	"camphorhead.example/camphorhead/version/profile"
 )
@@ -22,31 +23,35 @@
 	now    time.Time
 	agents []*agentState
 	nodes  []*placement.Node
+	// rooms are the processors that filling tasks may still use, by image and
+	// agent; they are worked out when the pass first needs them.
+	rooms map[string][]int64
+	loads []*fillLoad
 }
 
-// Dispatch places what waits and returns the orders of all agents.
+// Dispatch places what waits, if anything has changed since the previous pass,
+// and returns the orders of all agents.
 func (t *Table) Dispatch(now time.Time) []AgentOrders {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.ready) > 0 {
+	if t.changedRoom && len(t.ready) > 0 {
 		v := t.view(now)
 		for _, c := range t.order(now) {
 			t.placeStep(now, &v, c)
 		}
 	}
+	t.changedRoom = false
 	return t.takeOrders()
 }
 
 func (t *Table) view(now time.Time) view {
-	v := view{now: now}
-	for _, a := range t.agents {
-		v.agents = append(v.agents, a)
-	}
-	slices.SortFunc(v.agents, func(a, b *agentState) int { return cmp.Compare(a.id, b.id) })
-	for _, a := range v.agents {
+	v := view{now: now, agents: t.sorted, rooms: map[string][]int64{}}
+	v.nodes = make([]*placement.Node, len(v.agents))
+	v.loads = make([]*fillLoad, len(v.agents))
+	for i, a := range v.agents {
 		a.node.Open = t.open(now, a)
 		a.node.FailPct, a.node.SlowPct = a.health.failPct(now), a.health.slowPct(now)
-		v.nodes = append(v.nodes, &a.node)
+		v.nodes[i] = &a.node
 	}
 	return v
 }
@@ -68,7 +73,7 @@
 	for s := range t.ready {
 		p := t.policy(s.job())
 		c := candidate{step: s, profile: p, due: s.job().due(p)}
-		if left := time.Duration(s.chainMs()) * time.Millisecond; now.Add(left).After(c.due) {
+		if left := time.Duration(s.chain) * time.Millisecond; now.Add(left).After(c.due) {
 			c.late = 1
 		}
 		list = append(list, c)
@@ -104,21 +109,19 @@
 
 // due is when a job should have ended.
 func (j *jobState) due(p profile.Profile) time.Time {
-	objective := p.ObjectiveStretch*float64(j.chainMs()) + float64(p.ObjectiveMs)
+	objective := p.ObjectiveStretch*float64(j.chain) + float64(p.ObjectiveMs)
 	return j.known.Add(time.Duration(objective) * time.Millisecond)
 }
 
-// chainMs is the longest chain of estimated work in a job.
-func (j *jobState) chainMs() int64 {
-	var longest int64
-	ends := make([]int64, len(j.def.Steps))
-	for i := range j.def.Steps {
-		s := &j.def.Steps[i]
-		for _, before := range s.After {
-			ends[i] = max(ends[i], ends[before])
+// chains returns for each step the longest chain of estimated work from it on,
+// in milliseconds.
+func chains(steps []job.Step) []int64 {
+	longest := make([]int64, len(steps))
+	for i := len(steps) - 1; i >= 0; i-- {
+		longest[i] += steps[i].EstimateMs
+		for _, before := range steps[i].After {
+			longest[before] = max(longest[before], longest[i])
 		}
-		ends[i] += s.EstimateMs
-		longest = max(longest, ends[i])
 	}
 	return longest
 }
@@ -148,9 +151,8 @@
 		return
 	}
 	ask := askFor(s, c.profile.Service)
-	var rooms []int64
 	if s.def.Fills {
-		rooms = t.fillRooms(v, s.def.Image)
+		rooms := t.fillRooms(v, s.def.Image)
 		ask.FillRoom = func(i int) int64 { return rooms[i] }
 	}
 	ask.Crowd = now.Sub(s.readyAt) > crowdAfter && len(s.onAgent) == 0
@@ -172,8 +174,8 @@
 		if at < 0 {
 			return // the other tasks of the step need the same
 		}
-		if rooms != nil {
-			rooms[at] -= s.def.Need.MilliCPU
+		if s.def.Fills {
+			t.refill(v, at)
 			ask.Crowd = false
 		}
 		t.assign(now, task, v.agents[at])
--- a/process/schedule/pressure.go
+++ b/process/schedule/pressure.go
@@ -14,10 +14,10 @@
 }
 
 const (
-	// fillLoad is the load of a worker's idle processors up to which filling
+	// maxFillLoad is the load of a worker's idle processors up to which filling
 	// tasks are placed. Tasks that share processors all become late together,
 	// while those that wait their turn are done one after the other.
-	fillLoad = 1.25
+	maxFillLoad = 1.25
 	// readingAge is how old a reading may be to tell anything.
 	readingAge = 3 * time.Second
 	// servingMargin is kept between the utilization of a serving task and its
@@ -58,28 +58,68 @@
 	}
 }
 
+// fillLoad is what filling tasks may still do on one worker during a pass.
+type fillLoad struct {
+	// idle are the processors that are left for them.
+	idle int64
+	// left is the pressure that each serving task still bears.
+	left []servingLeft
+}
+
+type servingLeft struct {
+	image string
+	left  float64
+}
+
 // fillRooms returns for each worker of a view the processors that filling tasks
 // of an image may still use there.
 func (t *Table) fillRooms(v *view, image string) []int64 {
+	if rooms, ok := v.rooms[image]; ok {
+		return rooms
+	}
 	rooms := make([]int64, len(v.agents))
 	for i, a := range v.agents {
-		rooms[i] = t.fillRoom(v.now, a, image)
+		if v.loads[i] == nil {
+			v.loads[i] = t.fillLoad(v.now, a)
+		}
+		rooms[i] = t.fillRoom(v.loads[i], a, image)
 	}
+	v.rooms[image] = rooms
 	return rooms
 }
 
-func (t *Table) fillRoom(now time.Time, a *agentState, image string) int64 {
-	room := int64(fillLoad*float64(a.node.Idle())) - a.node.FillMilliCPU
-	capacity := float64(a.node.Capacity.MilliCPU)
+// refill works the rooms of one worker out again after a placement there.
+func (t *Table) refill(v *view, at int) {
+	v.loads[at] = t.fillLoad(v.now, v.agents[at])
+	for image, rooms := range v.rooms {
+		rooms[at] = t.fillRoom(v.loads[at], v.agents[at], image)
+	}
+}
+
+func (t *Table) fillLoad(now time.Time, a *agentState) *fillLoad {
+	l := &fillLoad{idle: int64(maxFillLoad*float64(a.node.Idle())) - a.node.FillMilliCPU}
+	if len(a.serving) == 0 {
+		return l
+	}
 	filling := a.filling()
 	for _, r := range a.serving {
 		if now.Sub(r.at) > readingAge {
 			continue
 		}
-		left := t.pressure.Allowed(now.Add(placeAhead), r.Serving, servingMargin) - t.pressure.Sum(r.Image, filling)
-		weight := t.pressure.Weight(interference.PressurePair{Serving: r.Image, Filling: image})
+		l.left = append(l.left, servingLeft{
+			image: r.Image,
+			left:  t.pressure.Allowed(now.Add(placeAhead), r.Serving, servingMargin) - t.pressure.Sum(r.Image, filling),
+		})
+	}
+	return l
+}
+
+func (t *Table) fillRoom(l *fillLoad, a *agentState, image string) int64 {
+	room := l.idle
+	for _, s := range l.left {
+		weight := t.pressure.Weight(interference.PressurePair{Serving: s.image, Filling: image})
 		if weight > 0 {
-			room = min(room, int64(left/weight*capacity))
+			room = min(room, int64(s.left/weight*float64(a.node.Capacity.MilliCPU)))
 		}
 	}
 	return room
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -75,6 +75,11 @@
 	// registered are the agents that are durably known to have runs.
 	registered map[string]bool
 	pressure   *interference.Pressure
+	// sorted are the agents in the order of their ids.
+	sorted []*agentState
+	// changedRoom is set when something may be placed that could not before.
+	changedRoom bool
+	passedAt    time.Time
 }
 
 // New returns an empty table.
@@ -113,6 +118,8 @@
 	// occurrences are created when they are due.
 	occurrences []*occurrence
 	unfinished  int
+	// chain is the longest chain of estimated work, in milliseconds.
+	chain int64
 	// version counts durable changes; durable is the version that is in the store.
 	version, durable uint64
 	listed           bool // in Table.dirty
@@ -139,6 +146,9 @@
 	tasks      []taskState
 	onAgent    map[string]int // active tasks by agent
 	readyAt    time.Time
+	// chain is the longest chain of estimated work from this step on, in
+	// milliseconds.
+	chain int64
 }
 
 type taskPhase uint8
@@ -275,6 +285,9 @@
 	if t.cfg.Term > r.Term {
 		j.baseRun = uint32(min(t.cfg.Term-r.Term, 1<<18)) * runsPerTerm
 	}
+	for _, chain := range chains(j.def.Steps) {
+		j.chain = max(j.chain, chain)
+	}
 	t.jobs[j.def.ID] = j
 	t.waiting[j.def.Profile]++
 	t.publish(j)
@@ -305,11 +318,12 @@
 
 func (t *Table) newOccurrence(j *jobState, k int, unknown bool) *occurrence {
 	o := &occurrence{job: j, index: k, left: len(j.def.Steps)}
+	longest := chains(j.def.Steps)
 	for i := range j.def.Steps {
 		def := &j.def.Steps[i]
 		s := &stepState{
 			occurrence: o, def: def, index: i, left: def.Count, tasks: make([]taskState, def.Count),
-			onAgent: map[string]int{},
+			onAgent: map[string]int{}, chain: longest[i],
 		}
 		for n := range s.tasks {
 			task := &s.tasks[n]
@@ -352,6 +366,7 @@
 	if _, ok := t.ready[s]; !ok {
 		t.ready[s] = struct{}{}
 		s.readyAt = now
+		t.changedRoom = true
 	}
 }
 
--- a/process/schedule/tick.go
+++ b/process/schedule/tick.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// passInterval is the longest pause between two attempts to place what waits.
+const passInterval = 100 * time.Millisecond
+
 // Tick does what follows from the passing of time. The leader calls it every
 // few tens of milliseconds.
 func (t *Table) Tick(now time.Time) {
@@ -18,6 +21,11 @@
 	if len(t.unproven) > 0 {
 		t.prove(now)
 	}
+	if now.Sub(t.passedAt) >= passInterval {
+		// What opens with time alone: a worker after a refusal, a serving task
+		// whose load falls.
+		t.passedAt, t.changedRoom = now, true
+	}
 }
 
 // Load is a summary of the table for status pages and metrics.
