--- a/process/schedule/place.go
+++ b/process/schedule/place.go
@@ -1,15 +1,25 @@
 package schedule
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/event"
-	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/placement"
-	"camphorhead.example/camphorhead/version/profile"
+	"camphorhead.example/camphorhead/request/quota"
+	"camphorhead.example/camphorhead/request/resources"
+)
+
+const (
+	// crowdAfter is how long a step of filling tasks waits for idle processors
+	// before one of its tasks is placed beside others.
+	crowdAfter = 1500 * time.Millisecond
+	// longPass is the time of a pass from which on the next one keeps a distance;
+	// passShare is the part of the time that such passes may take together, as a
+	// divisor.
+	longPass  = 5 * time.Millisecond
+	passShare = 5
 )
 
 // AgentOrders are the orders of one pass for one agent.
@@ -18,7 +28,7 @@
 	Orders message.Orders
 }
 
-// view is the state of the agents during one pass.
+// view is the state of the agents and teams during one pass.
 type view struct {
 	now    time.Time
 	agents []*agentState
@@ -27,6 +37,20 @@
 	// agent; they are worked out when the pass first needs them.
 	rooms map[string][]int64
 	loads []*fillLoad
+	// full are the kinds of task that found no worker in this pass.
+	full map[taskKind]struct{}
+	// reserve is worked out when the pass first needs it.
+	reserve *placement.Reserve
+	teams   map[string]quota.Team
+	// wanted and need are what teams within their quotas found no room for.
+	wanted, need map[string]resources.Resources
+}
+
+// taskKind is what tasks have in common that fit on the same workers.
+type taskKind struct {
+	service, label, rack, region, image, profile string
+	need                                         resources.Resources
+	fills, crowd, serves, urgent                 bool
 }
 
 // Dispatch places what waits, if anything has changed since the previous pass,
@@ -34,115 +58,40 @@
 func (t *Table) Dispatch(now time.Time) []AgentOrders {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.changedRoom && len(t.ready) > 0 {
-		v := t.view(now)
-		for _, c := range t.order(now) {
-			t.placeStep(now, &v, c)
-		}
+	if t.changedRoom && len(t.ready) > 0 && !now.Before(t.notBefore) {
+		t.pass(now)
 	}
-	t.changedRoom = false
 	return t.takeOrders()
 }
 
+func (t *Table) pass(now time.Time) {
+	v := t.view(now)
+	for _, c := range t.order(now) {
+		t.placeStep(now, &v, c)
+	}
+	t.returnBorrowed(&v)
+	t.changedRoom = false
+	end := t.cfg.Clock.Now()
+	if took := end.Sub(now); took > longPass {
+		t.notBefore = end.Add((passShare - 1) * took)
+	}
+}
+
 func (t *Table) view(now time.Time) view {
-	v := view{now: now, agents: t.sorted, rooms: map[string][]int64{}}
+	v := view{
+		now: now, agents: t.sorted, rooms: map[string][]int64{}, full: map[taskKind]struct{}{},
+		teams: t.teams(), wanted: map[string]resources.Resources{}, need: map[string]resources.Resources{},
+	}
 	v.nodes = make([]*placement.Node, len(v.agents))
 	v.loads = make([]*fillLoad, len(v.agents))
 	for i, a := range v.agents {
-		a.node.Open = t.open(now, a)
-		a.node.FailPct, a.node.SlowPct = a.health.failPct(now), a.health.slowPct(now)
+		a.node.Open = t.open(now, a) && !a.health.blocked
+		a.node.FailPct = a.health.failPct(now)
 		v.nodes[i] = &a.node
 	}
 	return v
 }
 
-// candidate is a ready step with what orders it.
-type candidate struct {
-	step    *stepState
-	profile profile.Profile
-	due     time.Time
-	// late is 1 for a job that cannot be done in time any more; it goes behind
-	// those that can.
-	late int
-}
-
-// order returns the ready steps: by priority, then those that can still be done
-// in time, by the time at which their jobs are due.
-func (t *Table) order(now time.Time) []candidate {
-	list := make([]candidate, 0, len(t.ready))
-	for s := range t.ready {
-		p := t.policy(s.job())
-		c := candidate{step: s, profile: p, due: s.job().due(p)}
-		if left := time.Duration(s.chain) * time.Millisecond; now.Add(left).After(c.due) {
-			c.late = 1
-		}
-		list = append(list, c)
-	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		if c := cmp.Compare(a.profile.Priority, b.profile.Priority); c != 0 {
-			return c
-		}
-		if a.late != b.late {
-			return cmp.Compare(a.late, b.late)
-		}
-		if c := a.due.Compare(b.due); c != 0 {
-			return c
-		}
-		if c := cmp.Compare(a.step.job().def.ID, b.step.job().def.ID); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.step.index, b.step.index)
-	})
-	return list
-}
-
-// policy returns the profile of a job. One that was removed stays in force for
-// the jobs that it accepted.
-func (t *Table) policy(j *jobState) profile.Profile {
-	if p, ok := t.cfg.Profile(j.def.Profile); ok {
-		return p
-	}
-	return profile.Profile{
-		Name: j.def.Profile, Service: j.def.Service, Priority: j.def.Priority, MaxAttempts: j.def.MaxAttempts,
-	}
-}
-
-// due is when a job should have ended.
-func (j *jobState) due(p profile.Profile) time.Time {
-	objective := p.ObjectiveStretch*float64(j.chain) + float64(p.ObjectiveMs)
-	return j.known.Add(time.Duration(objective) * time.Millisecond)
-}
-
-// chains returns for each step the longest chain of estimated work from it on,
-// in milliseconds.
-func chains(steps []job.Step) []int64 {
-	longest := make([]int64, len(steps))
-	for i := len(steps) - 1; i >= 0; i-- {
-		longest[i] += steps[i].EstimateMs
-		for _, before := range steps[i].After {
-			longest[before] = max(longest[before], longest[i])
-		}
-	}
-	return longest
-}
-
-// crowdAfter is how long a step of filling tasks waits for idle processors
-// before one of its tasks is placed beside others.
-const crowdAfter = 1500 * time.Millisecond
-
-// chainMs is the longest chain of estimated work from a step on.
-func (s *stepState) chainMs() int64 {
-	steps := s.job().def.Steps
-	longest := make([]int64, len(steps))
-	for i := len(steps) - 1; i >= s.index; i-- {
-		longest[i] += steps[i].EstimateMs
-		for _, before := range steps[i].After {
-			longest[before] = max(longest[before], longest[i])
-		}
-	}
-	return longest[s.index]
-}
-
 // placeStep places as many tasks of a step as there is room for.
 func (t *Table) placeStep(now time.Time, v *view, c candidate) {
 	s := c.step
@@ -150,193 +99,192 @@
 		t.placeGang(now, v, c)
 		return
 	}
-	ask := askFor(s, c.profile.Service)
-	if s.def.Fills {
-		rooms := t.fillRooms(v, s.def.Image)
-		ask.FillRoom = func(i int) int64 { return rooms[i] }
+	if t.refuse(now, s) {
+		return
+	}
+	ask := t.askFor(v, c)
+	kind := kindOf(&ask, s)
+	if _, full := v.full[kind]; full {
+		t.starve(v, s)
+		return
 	}
-	ask.Crowd = now.Sub(s.readyAt) > crowdAfter && len(s.onAgent) == 0
 	onlyRack := ""
 	if s.def.SameRack {
 		onlyRack = t.rackOf(s)
 	}
 	for i := range s.tasks {
 		task := &s.tasks[i]
-		if task.phase != taskWaiting {
+		if task.phase != taskWaiting || t.useClaim(now, task) {
 			continue
 		}
-		ask.OnlyRack = onlyRack
-		at := t.pick(&ask, v, task)
-		if at < 0 && onlyRack != "" {
-			ask.OnlyRack = "" // slower on several racks is better than not at all
-			at = t.pick(&ask, v, task)
+		at, held := t.placeTask(v, &ask, task, onlyRack)
+		if held {
+			return
 		}
-		if at < 0 {
+		switch {
+		case at < 0 && ask.Excluded != nil:
+			continue // other tasks of the step may use more workers
+		case at < 0:
+			if s.def.Spread == 0 && onlyRack == "" {
+				v.full[kind] = struct{}{}
+			}
 			return // the other tasks of the step need the same
 		}
 		if s.def.Fills {
 			t.refill(v, at)
 			ask.Crowd = false
 		}
-		t.assign(now, task, v.agents[at])
 		if s.def.SameRack && onlyRack == "" {
 			onlyRack = v.nodes[at].Rack
 		}
 	}
 }
 
-func askFor(s *stepState, service string) placement.Ask {
-	return placement.Ask{
-		Service: service, Label: s.def.Label, Rack: s.def.Rack, Charge: s.def.Charge(),
-		MilliCPU: s.def.Need.MilliCPU, Fills: s.def.Fills, Serves: s.def.TargetMs > 0, Spread: s.def.Spread,
+// placeTask places one task and returns the index of its worker, or -1. held is
+// set for a task that waits for its team's quota.
+func (t *Table) placeTask(v *view, ask *placement.Ask, task *taskState, onlyRack string) (at int, held bool) {
+	j := task.step.job()
+	grant := v.admitted(j, ask.Charge)
+	if grant == quota.Refused {
+		return -1, true
 	}
+	ask.OnlyRack, ask.Excluded = onlyRack, v.excluded(task)
+	at = t.pick(ask, v, task)
+	if at < 0 && onlyRack != "" {
+		ask.OnlyRack = "" // slower on several racks is better than not at all
+		at = t.pick(ask, v, task)
+	}
+	switch r := j.def.Request; {
+	case at >= 0:
+		v.take(j, at, ask.Charge)
+		t.assign(v.now, task, v.agents[at])
+	case r != nil && r.Urgent:
+		t.preempt(v, task)
+	case grant == quota.Own:
+		v.starve(j, ask.Charge)
+	}
+	return at, false
 }
 
-func (t *Table) pick(ask *placement.Ask, v *view, task *taskState) int {
-	return placement.Pick(ask, v.nodes,
-		func(i int) int { return task.step.onAgent[v.agents[i].id] },
-		func(i int) bool { return slices.Contains(task.avoid, v.agents[i].id) })
-}
+const (
+	// minAvoid is how long a task waits for another worker than those on which it
+	// has failed; it doubles with each failure up to maxAvoid.
+	minAvoid = 250 * time.Millisecond
+	maxAvoid = 2 * time.Second
+)
 
-// rackOf returns the rack of the active tasks of a step, if there are any.
-func (t *Table) rackOf(s *stepState) string {
-	for id := range s.onAgent {
-		if a := t.agents[id]; a != nil {
-			return a.worker.Rack
-		}
+// excluded tells the workers on which a task has failed, for some time: one that
+// fails everything has room at once, and would use up all attempts of the task.
+func (v *view) excluded(task *taskState) func(i int) bool {
+	if len(task.avoid) == 0 {
+		return nil
 	}
-	return ""
+	failures := task.step.job().progress.FailuresOf(task.id())
+	wait := min(minAvoid<<min(max(failures-1, 0), 8), maxAvoid)
+	if v.now.Sub(task.endedAt) >= wait {
+		return nil
+	}
+	return func(i int) bool { return slices.Contains(task.avoid, v.agents[i].id) }
 }
 
-// assign orders the next run of a task at an agent.
-func (t *Table) assign(now time.Time, task *taskState, a *agentState) {
-	t.assignRun(now, task, a, max(task.lastRun, task.step.job().baseRun)+1)
+// starve notes the demand of a step that is skipped since others of its kind
+// found no worker.
+func (t *Table) starve(v *view, s *stepState) {
+	if j := s.job(); v.admitted(j, s.def.Charge()) == quota.Own {
+		v.starve(j, s.def.Charge())
+	}
 }
 
-func (t *Table) assignRun(now time.Time, task *taskState, a *agentState, number uint32) {
-	task.step.pending--
-	run := t.activate(now, task, a, number)
-	a.starts = append(a.starts, run)
-	if task.step.pending == 0 {
-		delete(t.ready, task.step)
+// take enters a placement into the view.
+func (v *view) take(j *jobState, at int, need resources.Resources) {
+	if v.reserve != nil {
+		v.reserve.Take(at, need)
+	}
+	if r := j.def.Request; r != nil && r.Team != "" {
+		team := v.teams[r.Team]
+		team.Used = team.Used.Add(need)
+		v.teams[r.Team] = team
 	}
-	t.cfg.Log.Emit(event.RunPlaced, "task", task.id().String(), "run", number, "agent", a.id,
-		"wait_ms", now.Sub(task.step.readyAt).Milliseconds(), "age_ms", now.Sub(a.reported).Milliseconds(),
-		"workers", len(t.agents))
 }
 
-// placeGang places all tasks of a gang or none of them. All members have the
-// same run number and resume from the same checkpoint.
-func (t *Table) placeGang(now time.Time, v *view, c candidate) {
+func (t *Table) askFor(v *view, c candidate) placement.Ask {
 	s := c.step
-	if s.pending < s.left {
-		return // members of an earlier run have not ended yet
+	ask := placement.Ask{
+		Service: c.profile.Service, Label: s.def.Label, Rack: s.def.Rack, Charge: s.def.Charge(),
+		MilliCPU: s.def.Need.MilliCPU, Fills: s.def.Fills, Serves: s.def.TargetMs > 0, Spread: s.def.Spread,
+		Crowd: v.now.Sub(s.readyAt) > crowdAfter && len(s.onAgent) == 0,
 	}
-	var number uint32
-	for i := range s.tasks {
-		number = max(number, s.tasks[i].lastRun)
+	if s.def.Fills {
+		rooms := t.fillRooms(v, s.def.Image)
+		ask.FillRoom = func(i int) int64 { return rooms[i] }
 	}
-	number = max(number, s.job().baseRun) + 1
-	racks := []string{""}
-	if s.def.SameRack {
-		racks = t.racks(v)
+	r := s.job().def.Request
+	if r == nil {
+		return ask
 	}
-	for _, rack := range racks {
-		if at := t.planGang(v, c, rack); at != nil {
-			t.startGang(now, v, s, at, number)
-			return
-		}
+	ask.Service, ask.Region = "", r.Region
+	name := s.job().def.Profile
+	if t.pairings.Len() > 0 {
+		ask.Slowdown = func(i int) float64 { return t.slowdown(v.agents[i], name) }
 	}
-}
-
-// racks returns all racks, and last the choice of several racks.
-func (t *Table) racks(v *view) []string {
-	var racks []string
-	for _, n := range v.nodes {
-		if !slices.Contains(racks, n.Rack) {
-			racks = append(racks, n.Rack)
+	if !r.Urgent {
+		if v.reserve == nil {
+			v.reserve = placement.NewReserve(v.nodes)
 		}
+		ask.Withheld = func(i int) bool { return v.reserve.Withheld(i, ask.Charge) }
 	}
-	return append(racks, "")
+	return ask
 }
 
-// planGang returns a worker for each member, or nil when they do not all fit.
-func (t *Table) planGang(v *view, c candidate, rack string) []int {
-	s := c.step
-	ask := askFor(s, c.profile.Service)
-	ask.OnlyRack = rack
-	nodes := make([]*placement.Node, len(v.nodes))
-	for i, n := range v.nodes {
-		trial := *n
-		nodes[i] = &trial
+func kindOf(a *placement.Ask, s *stepState) taskKind {
+	k := taskKind{
+		service: a.Service, label: a.Label, rack: a.Rack, region: a.Region, image: s.def.Image,
+		need: s.def.Need, fills: a.Fills, crowd: a.Crowd, serves: a.Serves, urgent: a.Withheld == nil,
 	}
-	count := map[int]int{}
-	var at []int
-	for range s.left {
-		i := placement.Pick(&ask, nodes, func(i int) int { return count[i] }, func(int) bool { return false })
-		if i < 0 {
-			return nil
-		}
-		count[i]++
-		nodes[i].Used = nodes[i].Used.Add(ask.Charge)
-		at = append(at, i)
+	if a.Slowdown != nil {
+		k.profile = s.job().def.Profile
 	}
-	return at
+	return k
 }
 
-func (t *Table) startGang(now time.Time, v *view, s *stepState, at []int, number uint32) {
-	checkpoint := ""
-	for i := range s.tasks {
-		if s.tasks[i].checkpoint != "" {
-			checkpoint = s.tasks[i].checkpoint
-		}
-	}
-	n := 0
-	for i := range s.tasks {
-		task := &s.tasks[i]
-		if task.phase != taskWaiting {
-			continue
+// pick chooses a worker. The due trial of one whose latest start failed comes first.
+func (t *Table) pick(ask *placement.Ask, v *view, task *taskState) int {
+	if ask.Withheld != nil || ask.Region == "" {
+		if at := t.trial(v, ask, task); at >= 0 {
+			return at
 		}
-		task.checkpoint = checkpoint
-		t.assignRun(now, task, v.agents[at[n]], number)
-		n++
 	}
+	return placement.Pick(ask, v.nodes,
+		func(i int) int { return task.step.onAgent[v.agents[i].id] },
+		func(i int) bool { return slices.Contains(task.avoid, v.agents[i].id) })
 }
 
-// takeOrders collects what has to be sent.
-func (t *Table) takeOrders() []AgentOrders {
-	var list []AgentOrders
-	for _, a := range t.agents {
-		if len(a.starts) == 0 && len(a.stops) == 0 && len(a.adopted) == 0 {
-			continue
-		}
-		o := message.Orders{Term: t.cfg.Term, Session: a.session, Recorded: a.recorded}
-		a.told = a.recorded
-		for _, run := range a.adopted {
-			o.Adopted = append(o.Adopted, startOrder(run))
-		}
-		for _, run := range a.starts {
-			o.Starts = append(o.Starts, startOrder(run))
-			j := run.task.step.job()
-			if j.inputAt[a.id] != a.session {
-				j.inputAt[a.id] = a.session
-				o.Inputs = append(o.Inputs, message.JobInput{Job: j.def.ID, Input: j.def.Input})
-			}
-		}
-		for _, key := range a.stops {
-			o.Stops = append(o.Stops, message.StopRun{Key: key})
+// rackOf returns the rack of the active tasks of a step, if there are any.
+func (t *Table) rackOf(s *stepState) string {
+	for id := range s.onAgent {
+		if a := t.agents[id]; a != nil {
+			return a.worker.Rack
 		}
-		a.starts, a.stops, a.adopted = nil, nil, nil
-		list = append(list, AgentOrders{Agent: a.id, Orders: o})
 	}
-	return list
+	return ""
+}
+
+// assign orders the next run of a task at an agent.
+func (t *Table) assign(now time.Time, task *taskState, a *agentState) {
+	t.assignRun(now, task, a, max(task.lastRun, task.step.job().baseRun)+1)
 }
 
-func startOrder(run *runState) message.StartRun {
-	def := run.task.step.def
-	return message.StartRun{
-		Key: run.key(), Need: def.Need, Charge: def.Charge(), Checkpoint: run.task.checkpoint,
-		Image: def.Image, TargetMs: def.TargetMs, Fills: def.Fills, Lasts: def.Lasts,
-		Profile: run.task.step.job().def.Profile,
+func (t *Table) assignRun(now time.Time, task *taskState, a *agentState, number uint32) {
+	task.step.pending--
+	run := t.activate(now, task, a, number)
+	a.starts = append(a.starts, run)
+	if task.step.pending == 0 {
+		delete(t.ready, task.step)
 	}
+	t.shares.Charge(task.step.share())
+	t.cfg.Meter.Add("runs_placed", 1)
+	t.cfg.Meter.Observe("queue_wait", now.Sub(task.step.readyAt))
+	t.cfg.Log.Emit(event.RunPlaced, "task", task.id().String(), "run", number, "agent", a.id,
+		"milli_cpu", task.step.def.Need.MilliCPU, "image", task.step.def.Image, "wait_ms", now.Sub(task.step.readyAt).Milliseconds(), "age_ms", now.Sub(a.reported).Milliseconds(),
+		"workers", len(t.agents))
 }
--- /dev/null
+++ b/process/schedule/proof.go
@@ -0,0 +1,70 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// prove lets the unfinished tasks of the previous term wait for workers once
+// no agent can have a run of them that is not known.
+func (t *Table) prove(now time.Time) {
+	for agent, until := range t.unproven {
+		if now.After(until) {
+			delete(t.unproven, agent)
+		}
+	}
+	if len(t.unproven) > 0 {
+		return
+	}
+	for _, s := range t.restored {
+		for i := range s.tasks {
+			if task := &s.tasks[i]; task.phase == taskUnknown {
+				task.phase = taskWaiting
+				s.pending++
+			}
+		}
+		t.consider(now, s)
+	}
+	t.restored = nil
+}
+
+// Shorten moves the time by which the agents of the previous term have no runs
+// any more; it never moves back.
+func (t *Table) Shorten(until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for agent, old := range t.unproven {
+		if until.Before(old) {
+			t.unproven[agent] = until
+		}
+	}
+}
+
+// NoteRegistered notes that agents are durably known; from now on they get work.
+func (t *Table) NoteRegistered(agents []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.registered = map[string]bool{}
+	t.changedRoom = true
+	for _, id := range agents {
+		t.registered[id] = true
+	}
+}
+
+// Unregistered returns the agents that must be durably known, if that list has
+// changed since the last NoteRegistered.
+func (t *Table) Unregistered() (agents []string, changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id := range t.agents {
+		agents = append(agents, id)
+		changed = changed || !t.registered[id]
+	}
+	for id := range t.unproven {
+		if t.agents[id] == nil {
+			agents = append(agents, id)
+		}
+	}
+	slices.Sort(agents)
+	return agents, changed || len(agents) != len(t.registered)
+}
--- a/process/schedule/records.go
+++ b/process/schedule/records.go
@@ -14,6 +14,8 @@
 	State    job.State
 	Progress job.Progress // a copy; unused when State is final
 	EndedMs  int64
+	// Record is what the caller of an ended job with a request is shown.
+	Record *job.Record
 
 	state   *jobState
 	version uint64
@@ -31,6 +33,10 @@
 		r := Record{ID: j.def.ID, Profile: j.def.Profile, State: j.state, state: j, version: j.version}
 		if j.state.Terminal() {
 			r.EndedMs = j.endedAt.UnixMilli()
+			if j.def.Request != nil {
+				record := j.record()
+				r.Record = &record
+			}
 		} else {
 			r.State, r.Progress = job.Running, j.progress.Clone()
 		}
@@ -40,11 +46,11 @@
 	return records
 }
 
-// Dirty reports whether there are records to write.
-func (t *Table) Dirty() bool {
+// Dirty returns the number of records to write.
+func (t *Table) Dirty() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.dirty) > 0
+	return len(t.dirty)
 }
 
 // Committed notes that records are durable.
@@ -54,6 +60,8 @@
 	for _, r := range records {
 		r.state.durable = max(r.state.durable, r.version)
 		if r.State.Terminal() {
+			t.cfg.Meter.Add("jobs_"+string(r.State), 1)
+			t.cfg.Meter.Observe("job", r.state.endedAt.Sub(r.state.known))
 			t.publish(r.state)
 		}
 	}
@@ -86,6 +94,7 @@
 		}
 		t.ended = t.ended[1:]
 		delete(t.jobs, j.def.ID)
+		t.resultBytes -= len(j.result)
 		ids = append(ids, j.def.ID)
 	}
 	return ids
--- a/process/schedule/tick.go
+++ b/process/schedule/tick.go
@@ -10,8 +10,13 @@
 func (t *Table) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.unconfirmed = false
 	for _, a := range t.agents {
-		if now.After(t.certainEnd(a.reported)) {
+		if end := t.certainEnd(a.reported); now.After(end) {
+			if t.confirmed.Before(end) {
+				t.unconfirmed = true
+				continue
+			}
 			t.lapse(now, a)
 		}
 	}
@@ -21,6 +26,7 @@
 	if len(t.unproven) > 0 {
 		t.prove(now)
 	}
+	t.passStarts(now)
 	if now.Sub(t.passedAt) >= passInterval {
 		// What opens with time alone: a worker after a refusal, a serving task
 		// whose load falls.
@@ -28,6 +34,24 @@
 	}
 }
 
+// Confirm takes in that no other term had begun at a time. An agent counts as
+// lost only after that: it may have moved to the leader of a newer term, and its
+// tasks must not start once more here.
+func (t *Table) Confirm(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.After(t.confirmed) {
+		t.confirmed = at
+	}
+}
+
+// Unconfirmed reports whether the loss of an agent waits for Confirm.
+func (t *Table) Unconfirmed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.unconfirmed
+}
+
 // Load is a summary of the table for status pages and metrics.
 type Load struct {
 	Jobs, Agents, Ready, Runs, Unproven int
--- a/process/settings/contradiction.go
+++ b/process/settings/contradiction.go
@@ -16,12 +16,13 @@
 	{"http.max_body_bytes", 1024, 262_144, "", func(s *Settings) int64 { return s.HTTP.MaxBodyBytes }},
 	{"lease.task_ms", 200, 600_000, "", func(s *Settings) int64 { return s.Lease.TaskMs }},
 	{"lease.heartbeat_ms", 10, 60_000, "", func(s *Settings) int64 { return s.Lease.HeartbeatMs }},
-	{"lease.registration_ms", 100, 60_000, "", func(s *Settings) int64 { return s.Lease.RegistrationMs }},
-	// 16 shards that commit every 120 ms stay below the 150 writes a second of the store.
-	{"records.commit_ms", 120, 5000, RoleEntry, func(s *Settings) int64 { return s.Records.CommitMs }},
+	{"lease.leader_ms", 100, 60_000, "", func(s *Settings) int64 { return s.Lease.LeaderMs }},
+	// A leader that commits every 10 ms stays below the 400 writes a second of the store.
+	{"records.commit_ms", 10, 5000, RoleEntry, func(s *Settings) int64 { return s.Records.CommitMs }},
 	{"records.retention_ms", 1000, 604_800_000, RoleEntry, func(s *Settings) int64 { return s.Records.RetentionMs }},
-	{"lease.outage_ms", 0, 86_400_000, "", func(s *Settings) int64 { return s.Lease.OutageMs }},
-	{"lease.worker_ms", 0, 600_000, "", func(s *Settings) int64 { return s.Lease.WorkerMs }},
+	{"records.checkpoint_ms", 0, 86_400_000, RoleEntry, func(s *Settings) int64 { return s.Records.CheckpointMs }},
+	{"lease.outage_ms", 100, 86_400_000, "", func(s *Settings) int64 { return s.Lease.OutageMs }},
+	{"lease.worker_ms", 100, 600_000, "", func(s *Settings) int64 { return s.Lease.WorkerMs }},
 	{"limits.processor_percent", 0, 100_000, "", func(s *Settings) int64 { return s.Limits.ProcessorPercent }},
 	{"limits.memory_mb", 0, 1_000_000, "", func(s *Settings) int64 { return s.Limits.MemoryMB }},
 	{"limits.pool_workers", 1, 256, "", func(s *Settings) int64 { return s.Limits.PoolWorkers }},
@@ -39,7 +40,9 @@
 	switch s.Role {
 	case RoleEntry:
 		c.url("store.url", s.Store.URL)
-		c.protocol("store.protocol", s.Store.Protocol)
+		if form := s.Store.Configuration; form != "" && form != ConfigurationLog && form != ConfigurationDocument {
+			c.refuse("store.configuration", "must be %q or %q", ConfigurationLog, ConfigurationDocument)
+		}
 		if s.Jobs != (Jobs{}) {
 			c.address("jobs.listen", s.Jobs.Listen, true)
 			c.address("jobs.ready", s.Jobs.Ready, true)
@@ -52,7 +55,9 @@
 		}
 	case RoleAgent:
 		c.url("worker.url", s.Worker.URL)
-		c.protocol("worker.protocol", s.Worker.Protocol)
+		if p := s.Worker.Protocol; p != "" && p != ProtocolNative && p != ProtocolPlatform {
+			c.refuse("worker.protocol", "must be %q or %q", ProtocolNative, ProtocolPlatform)
+		}
 		if s.Worker.Protocol == ProtocolPlatform {
 			c.address("worker.registry", s.Worker.Registry, true)
 			c.url("store.url", s.Store.URL)
@@ -64,12 +69,6 @@
 	}
 }
 
-func (c *checker) protocol(key, value string) {
-	if value != "" && value != ProtocolNative && value != ProtocolPlatform {
-		c.refuse(key, "must be %q or %q", ProtocolNative, ProtocolPlatform)
-	}
-}
-
 // tables refuses the tables of the other role, which would have no effect. An
 // empty table is refused if it is present in the file.
 func (c *checker) tables(s Settings, where positions) {
@@ -131,16 +130,16 @@
 	if 2*l.HeartbeatMs >= l.TaskMs {
 		c.refuse("lease.heartbeat_ms", "must be below half of lease.task_ms (%d)", l.TaskMs)
 	}
-	// Otherwise tasks would stop before their shard has a new owner.
-	if l.RegistrationMs >= l.TaskMs {
-		c.refuse("lease.registration_ms", "must be below lease.task_ms (%d)", l.TaskMs)
+	// Otherwise tasks would stop before there is a new leader.
+	if l.LeaderMs >= l.TaskMs {
+		c.refuse("lease.leader_ms", "must be below lease.task_ms (%d)", l.TaskMs)
 	}
 	if s.Role != RoleEntry {
 		return
 	}
-	// A renewal that is not answered must leave time for a second one.
-	if 2*s.Limits.CallTimeoutMs > l.RegistrationMs {
-		c.refuse("limits.call_timeout_ms", "must be at most half of lease.registration_ms (%d)", l.RegistrationMs)
+	// A call that is not answered must leave time for a second one.
+	if 2*s.Limits.CallTimeoutMs > l.LeaderMs {
+		c.refuse("limits.call_timeout_ms", "must be at most half of lease.leader_ms (%d)", l.LeaderMs)
 	}
 	// A caller must be able to ask for the outcome of a job that ended with its lease.
 	if s.Records.RetentionMs < l.TaskMs {
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -76,17 +76,25 @@
 	MaxBodyBytes int64  `toml:"max_body_bytes"`
 }
 
-// The protocols in which the store and the worker are spoken to.
+// The protocols in which the worker is spoken to.
 const (
 	ProtocolNative   = "native"
 	ProtocolPlatform = "platform"
 )
 
+// The forms in which the store holds the operators' configuration.
+const (
+	// ConfigurationLog is a log of changes that entries write for operators.
+	ConfigurationLog = "log"
+	// ConfigurationDocument is one document that operators write themselves.
+	ConfigurationDocument = "document"
+)
+
 // Store is the platform's key-value store.
 type Store struct {
 	URL string `toml:"url"`
-	// Protocol is native or platform; empty means native.
-	Protocol string `toml:"protocol,omitempty"`
+	// Configuration is log or document; empty means log.
+	Configuration string `toml:"configuration,omitempty"`
 }
 
 // Worker is the platform's interface to the worker beside an agent.
@@ -114,9 +122,10 @@
 
 // Lease holds the durations of leases.
 type Lease struct {
-	TaskMs         int64 `toml:"task_ms"`
-	HeartbeatMs    int64 `toml:"heartbeat_ms"`
-	RegistrationMs int64 `toml:"registration_ms"`
+	TaskMs      int64 `toml:"task_ms"`
+	HeartbeatMs int64 `toml:"heartbeat_ms"`
+	// LeaderMs is the silence after which the leader of the jobs is replaced.
+	LeaderMs int64 `toml:"leader_ms"`
 	// OutageMs is how long a leader goes on without the store.
 	OutageMs int64 `toml:"outage_ms"`
 	// WorkerMs is how far ahead an agent keeps the lease of its worker.
@@ -135,15 +144,21 @@
 // Heartbeat returns the interval of an agent's heartbeats.
 func (l Lease) Heartbeat() time.Duration { return milliseconds(l.HeartbeatMs) }
 
-// Registration returns the length of an entry's lease in the store.
-func (l Lease) Registration() time.Duration { return milliseconds(l.RegistrationMs) }
+// Leader returns the silence after which the leader of the jobs is replaced.
+func (l Lease) Leader() time.Duration { return milliseconds(l.LeaderMs) }
 
-// Records holds the durations of the shard logs. Only entries use it.
+// Records holds the durations of the records of jobs. Only entries use it.
 type Records struct {
 	CommitMs    int64 `toml:"commit_ms"`
 	RetentionMs int64 `toml:"retention_ms"`
+	// CheckpointMs is how often the checkpoint of a running task is recorded by
+	// itself; 0: only along with other changes.
+	CheckpointMs int64 `toml:"checkpoint_ms"`
 }
 
+// Checkpoint returns how often the checkpoint of a running task is recorded.
+func (r Records) Checkpoint() time.Duration { return milliseconds(r.CheckpointMs) }
+
 // Commit returns the interval for which records are collected into one batch.
 func (r Records) Commit() time.Duration { return milliseconds(r.CommitMs) }
 
@@ -254,14 +269,14 @@
 		Process: Process{Listen: "127.0.0.1:7100"},
 		HTTP:    HTTP{Listen: "127.0.0.1:7180", MaxBodyBytes: 262_144},
 		Lease: Lease{
-			TaskMs: 30_000, HeartbeatMs: 10_000, RegistrationMs: 10_000, OutageMs: 3_600_000, WorkerMs: 30_000,
+			TaskMs: 30_000, HeartbeatMs: 10_000, LeaderMs: 10_000, OutageMs: 3_600_000, WorkerMs: 30_000,
 		},
 		Limits:  Limits{PoolWorkers: 16, PoolQueue: 4096, QueueLength: 512, CPUFloorPercent: 100, CallTimeoutMs: 2000},
 		Network: Network{LinkMbit: 30},
 		Log:     Log{Format: FormatHuman, Level: LevelInfo},
 	}
 	if role == RoleEntry {
-		s.Records = Records{CommitMs: 200, RetentionMs: 86_400_000}
+		s.Records = Records{CommitMs: 40, RetentionMs: 86_400_000, CheckpointMs: 30_000}
 	}
 	return s
 }
--- a/process/term/term.go
+++ b/process/term/term.go
@@ -38,6 +38,8 @@
 type Beat struct {
 	Term   uint64 `msgpack:"t"`
 	Number uint64 `msgpack:"n"`
+	// Resigned says that the leader gives the term up.
+	Resigned bool `msgpack:"r,omitempty"`
 }
 
 // View is what the store says.
@@ -51,7 +53,7 @@
 }
 
 // Read returns the present view of the store.
-func Read(ctx context.Context, store platform.TxnStore) (View, error) {
+func Read(ctx context.Context, store platform.Store) (View, error) {
 	items, _, err := store.List(ctx, "leader/")
 	if err != nil {
 		return View{}, err
@@ -75,7 +77,7 @@
 
 // Claim begins the term after the one in view. ErrConflict means that another
 // entry was first; ErrUncertain that the store must be read again.
-func Claim(ctx context.Context, store platform.TxnStore, v View, self message.EntryInfo) (View, error) {
+func Claim(ctx context.Context, store platform.Store, v View, self message.EntryInfo) (View, error) {
 	next := View{Record: Record{Term: v.Term + 1, Holder: self}, Beat: v.Beat, BeatRevision: v.BeatRevision}
 	value, err := msgpack.Marshal(next.Record)
 	if err != nil {
@@ -94,8 +96,8 @@
 }
 
 // BeatPut returns the write of the next beat of a term, with its expectation.
-func BeatPut(term, number, revision uint64) (platform.Txn, error) {
-	value, err := msgpack.Marshal(Beat{Term: term, Number: number})
+func BeatPut(beat Beat, revision uint64) (platform.Txn, error) {
+	value, err := msgpack.Marshal(beat)
 	if err != nil {
 		return platform.Txn{}, Class.Wrap(err)
 	}
--- a/process/term/watch.go
+++ b/process/term/watch.go
@@ -51,6 +51,8 @@
 	servedAt time.Time
 	// emptyAt is when the store was first seen without any term.
 	emptyAt time.Time
+	// yieldUntil is until when this entry leaves the next term to others.
+	yieldUntil time.Time
 }
 
 // NewWatch returns a watch that knows nothing.
@@ -59,6 +61,10 @@
 // Prefer sets how long this entry lets others go first.
 func (w *Watch) Prefer(d time.Duration) { w.timing.Preference = d }
 
+// Yield leaves the next term to others for a while, after this entry has given
+// up one because it reaches too little.
+func (w *Watch) Yield(until time.Time) { w.yieldUntil = until }
+
 // View returns the newest view.
 func (w *Watch) View() View { return w.view }
 
@@ -116,6 +122,9 @@
 	if v.Beat.Term == v.Term && v.Beat.Number > w.beat {
 		w.beat, w.beatAt = v.Beat.Number, now
 	}
+	if v.Beat.Term == v.Term && v.Beat.Resigned {
+		w.Gone(now, v.Term)
+	}
 }
 
 // Missed takes in a reading of the store that failed.
@@ -131,7 +140,7 @@
 		return Nothing
 	}
 	fresh := w.read && now.Sub(w.readAt) < w.timing.PollEvery
-	if ready && fresh {
+	if ready && fresh && !now.Before(w.yieldUntil) {
 		return ClaimTerm
 	}
 	if now.Sub(w.readAt) >= w.timing.PollEvery {
@@ -151,8 +160,15 @@
 		return true, since(w.goneAt)
 	case !w.troubleAt.IsZero():
 		return true, since(w.troubleAt) && !w.servedAt.IsZero() && now.Sub(w.servedAt) >= returnSlack
-	case now.Sub(w.heardAt) >= w.timing.SilentAfter:
-		return true, now.Sub(w.beatAt) >= w.timing.SilentAfter+w.timing.Preference
+	case now.Sub(w.heardAt) >= w.timing.SilentAfter/doubtShare:
+		// The store is read early, so that it is known since when the beat stands still.
+		silent := now.Sub(w.heardAt) >= w.timing.SilentAfter+w.timing.Preference
+		return true, silent && now.Sub(w.beatAt) >= w.timing.SilentAfter*2/doubtShare
 	}
 	return false, false
 }
+
+// doubtShare is the part of SilentAfter, as a divisor, after which a leader that
+// was not heard is looked for in the store. The rest of SilentAfter is more than
+// two intervals of its beat.
+const doubtShare = 3
--- a/process/timeline/ring.go
+++ b/process/timeline/ring.go
@@ -90,7 +90,10 @@
 
 // Matches reports whether the filter selects an event.
 func (f Filter) Matches(r Record) bool {
-	for _, want := range []Field{{"request", f.Request}, {"job", f.Job}, {"agent", f.Agent}, {"franchisee", f.Franchisee}} {
+	if f.Job != "" && r.Value("job") != f.Job && !strings.HasPrefix(r.Value("task"), f.Job+".") {
+		return false // the name of a task begins with that of its job
+	}
+	for _, want := range []Field{{"request", f.Request}, {"agent", f.Agent}, {"franchisee", f.Franchisee}} {
 		if want.Value != "" && r.Value(want.Name) != want.Value {
 			return false
 		}
--- a/request/job/progress.go
+++ b/request/job/progress.go
@@ -12,6 +12,17 @@
 	Failed []Failures `msgpack:"f,omitempty"`
 	// Cancelled is set once the cancelling of the job was taken note of.
 	Cancelled bool `msgpack:"c,omitempty"`
+	// Task is kept for the one task of a job with a request.
+	Task *TaskProgress `msgpack:"t,omitempty"`
+}
+
+// TaskProgress is the durable part of what has become of one task.
+type TaskProgress struct {
+	Checkpoint string `msgpack:"c,omitempty"`
+	Evictions  uint32 `msgpack:"e,omitempty"`
+	// FailedOn are the agents on whose workers the task failed soon after its
+	// start, the latest last.
+	FailedOn []string `msgpack:"o,omitempty"`
 }
 
 // Failures lists the failed runs of one task. The numbers tell a failure that is
@@ -94,5 +105,10 @@
 		f.Runs = slices.Clone(f.Runs)
 		c.Failed = append(c.Failed, f)
 	}
+	if p.Task != nil {
+		task := *p.Task
+		task.FailedOn = slices.Clone(task.FailedOn)
+		c.Task = &task
+	}
 	return c
 }
--- a/request/job/retry.go
+++ b/request/job/retry.go
@@ -9,45 +9,15 @@
 	MaxStartFailures = 8
 )
 
-// ApplyFailedStart applies an event of a task that failed soon after its
-// start. healthy is the number of workers in FailedOn that have passed a start
-// of another job since; it tells a broken job from broken workers. The job
-// waits for another worker, or it is failed for good. It reports whether the
-// record changed.
-func (r *Record) ApplyFailedStart(ev Event, healthy int, nowMs int64) bool {
-	if ev.Incarnation != r.Incarnation || (r.State != Assigned && r.State != Running) {
+// RetriesStart decides whether another worker may try a task that failed soon
+// after its start. failures counts such failures, this one included; healthy is
+// the number of workers among those it failed on before that have passed a
+// start of another job since, which tells a broken job from broken workers. A
+// proof only computes, so it may be computed again; a watch that is not
+// idempotent has side effects and must not run twice.
+func (r *Request) RetriesStart(failures, healthy int) bool {
+	if r.Kind != Proof && (r.Kind != Watch || !r.Idempotent) {
 		return false
 	}
-	r.StartFailures++
-	if !r.retriesStart(healthy) {
-		return r.Apply(ev, nowMs)
-	}
-	r.addFailedOn(r.Agent)
-	r.release(ev.Checkpoint)
-	return true
-}
-
-// retriesStart decides whether another worker may try. A proof only computes,
-// so it may be computed again; a watch that is not idempotent has side effects
-// and must not run twice.
-func (r *Record) retriesStart(healthy int) bool {
-	switch {
-	case r.CancelRequested:
-		return false
-	case r.Kind != Proof && !(r.Kind == Watch && r.Idempotent):
-		return false
-	}
-	return healthy < MaxHealthyFailures && r.StartFailures < MaxStartFailures
-}
-
-// addFailedOn replaces the list instead of writing into it, because copies of
-// the record share it.
-func (r *Record) addFailedOn(agent string) {
-	list := make([]string, 0, len(r.FailedOn)+1)
-	for _, known := range r.FailedOn {
-		if known != agent {
-			list = append(list, known)
-		}
-	}
-	r.FailedOn = append(list, agent)
+	return healthy < MaxHealthyFailures && failures < MaxStartFailures
 }
--- a/request/job/run.go
+++ b/request/job/run.go
@@ -2,8 +2,8 @@
 
 // RunKey names one run of a task. A task's runs have rising numbers.
 type RunKey struct {
-	Task TaskID
-	Run  uint32
+	Task TaskID `json:"task"`
+	Run  uint32 `json:"run"`
 }
 
 // EndKind says how a run ended.
--- a/request/job/task.go
+++ b/request/job/task.go
@@ -9,10 +9,10 @@
 
 // TaskID names one task: the index-th task of a step in one occurrence of a job.
 type TaskID struct {
-	Job        string
-	Occurrence int
-	Step       int
-	Index      int
+	Job        string `json:"job"`
+	Occurrence int    `json:"occurrence,omitempty"`
+	Step       int    `json:"step,omitempty"`
+	Index      int    `json:"index,omitempty"`
 }
 
 // String returns the form that workers use: the four parts, joined by dots.
@@ -104,6 +104,9 @@
 	FirstMs     int64 `msgpack:"f,omitempty"`
 	EveryMs     int64 `msgpack:"e,omitempty"`
 	AcceptedMs  int64 `msgpack:"a"`
+	// Request is what a caller of camphorhead's own interface asked for; nil for
+	// jobs that name their steps.
+	Request *Request `msgpack:"q,omitempty"`
 	// Service, Priority and MaxAttempts are those of the profile at the time of
 	// acceptance; they hold on when the profile is removed.
 	Service     string `msgpack:"sv,omitempty"`
@@ -121,3 +124,31 @@
 	}
 	return d.FirstMs + int64(occurrence)*d.EveryMs
 }
+
+// Request is what a caller of camphorhead's own interface asked for beyond the
+// one task of its job.
+type Request struct {
+	Key            string `msgpack:"k"`
+	Franchisee     string `msgpack:"f"`
+	Team           string `msgpack:"t,omitempty"`
+	ProfileVersion uint64 `msgpack:"v"`
+	Kind           Kind   `msgpack:"d"`
+	Idempotent     bool   `msgpack:"i,omitempty"`
+	Urgent         bool   `msgpack:"u,omitempty"`
+	MaxEvictions   uint32 `msgpack:"e,omitempty"`
+	// Region is that of the entry that accepted the request.
+	Region string `msgpack:"r,omitempty"`
+	// InputHash tells whether a repeated key comes with the same input.
+	InputHash string `msgpack:"h"`
+}
+
+// Record returns the record of a job with a request, before it has begun.
+func (d *Definition) Record() Record {
+	r := d.Request
+	return Record{
+		ID: d.ID, Key: r.Key, Franchisee: r.Franchisee, Team: r.Team, Profile: d.Profile,
+		ProfileVersion: r.ProfileVersion, Kind: r.Kind, Idempotent: r.Idempotent, Urgent: r.Urgent,
+		Resources: d.Steps[0].Need, MaxEvictions: r.MaxEvictions, Region: r.Region, InputHash: r.InputHash,
+		State: Accepted, AcceptedMs: d.AcceptedMs,
+	}
+}
--- a/request/placement/pick.go
+++ b/request/placement/pick.go
@@ -1,3 +1,5 @@
+// Package placement chooses workers for tasks: one that fits and has the least
+// score, or the tasks to displace so that urgent work fits.
 package placement
 
 import (
@@ -12,6 +14,7 @@
 	Labels  []string
 	Rack    string
 	Region  string
+	Domain  string // the failure domain
 	// Open workers take new tasks now.
 	Open     bool
 	Capacity resources.Resources
@@ -27,6 +30,8 @@
 	SlowPct int
 	// FailPct is the share of the latest runs that failed here.
 	FailPct int
+	// PressurePct is the measured slowdown of checks by the tasks here.
+	PressurePct int
 }
 
 // Ask is one task that looks for a worker.
@@ -49,23 +54,40 @@
 	Crowd bool
 	// Spread bounds the tasks of the step on one worker; 0: no bound.
 	Spread int
+	// Region is that of the caller; empty: any is as good.
+	Region string
+	// Slowdown gives the slowdown of checks that a task is expected to cause on
+	// a worker, as a share; nil: none.
+	Slowdown func(i int) float64
+	// Withheld tells the workers whose free room is kept for urgent work; nil: none.
+	Withheld func(i int) bool
+	// Excluded tells the workers that may not be chosen now; nil: none.
+	Excluded func(i int) bool
 }
 
 // Weights of the score. One point is the load of one worker; what must
 // outweigh every load is well above it.
 const (
 	// farPoints keeps a task on the rack of its data unless no worker there has room.
-	farPoints = 10.0
-	// avoidPoints keeps a task off the workers on which it failed.
-	avoidPoints = 30.0
-	slowPoints  = 4.0
-	failPoints  = 8.0
+	farPoints  = 10.0
+	slowPoints = 4.0
+	failPoints = 8.0
 	// servingPoints keeps filling tasks off workers with serving ones where
 	// there is no room for them anyway, besidePoints all other tasks.
 	servingPoints = 0.5
 	besidePoints  = 0.1
 	// fillPoints keeps serving tasks off workers with filling ones.
 	fillPoints = 0.5
+	// regionPoints keeps a task in its caller's region unless nothing there fits,
+	// avoidPoints off the workers on which it failed, in whatever region.
+	regionPoints = 500.0
+	avoidPoints  = 2000.0
+	// pressurePoints is added for checks that take twice as long, measured or
+	// expected; maxSlowdown bounds an expected one below the cost of another region.
+	pressurePoints = 0.5
+	maxSlowdown    = 5.0
+	// acceleratorPoints keeps tasks without accelerators off workers with free ones.
+	acceleratorPoints = 0.15
 )
 
 // servingUse is the part of their processors that serving tasks use; filling
@@ -99,10 +121,16 @@
 // Score rates a worker that fits; the least score is the best. room is what a
 // filling task may still use there.
 func (a *Ask) Score(n *Node, room int64) float64 {
-	score := slowPoints*float64(n.SlowPct)/100 + failPoints*float64(n.FailPct)/100
+	score := slowPoints*float64(n.SlowPct)/100 + failPoints*float64(n.FailPct)/100 + pressurePoints*float64(n.PressurePct)/100
 	if a.Rack != "" && a.Rack != n.Rack {
 		score += farPoints
 	}
+	if a.Region != "" && a.Region != n.Region {
+		score += regionPoints
+	}
+	if a.Charge.Accelerators == 0 && n.Capacity.Accelerators > n.Used.Accelerators {
+		score += acceleratorPoints
+	}
 	capacity := float64(max(n.Capacity.MilliCPU, 1))
 	switch {
 	case a.Fills && room >= a.MilliCPU:
@@ -123,7 +151,8 @@
 func Pick(a *Ask, nodes []*Node, onNode func(i int) int, avoid func(i int) bool) int {
 	best, least := -1, 0.0
 	for i, n := range nodes {
-		if !a.Fits(n) || (a.Spread > 0 && onNode(i) >= a.Spread) {
+		if !a.Fits(n) || (a.Spread > 0 && onNode(i) >= a.Spread) || (a.Withheld != nil && a.Withheld(i)) ||
+			(a.Excluded != nil && a.Excluded(i)) {
 			continue
 		}
 		var room int64
@@ -136,6 +165,9 @@
 		if avoid(i) {
 			score += avoidPoints
 		}
+		if a.Slowdown != nil {
+			score += pressurePoints * min(a.Slowdown(i), maxSlowdown)
+		}
 		if best < 0 || score < least {
 			best, least = i, score
 		}
--- a/request/placement/preempt.go
+++ b/request/placement/preempt.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/resources"
 )
 
@@ -17,25 +18,22 @@
 	taskWindow = 64
 )
 
-// Task is a batch task with a checkpoint that urgent work may displace.
+// Task is a task with a checkpoint that urgent work may displace.
 type Task struct {
-	Job       string
+	Key       job.RunKey
 	Resources resources.Resources
 	// CheckpointMs is when its checkpoint was taken; work since then is lost.
 	CheckpointMs int64
 }
 
-// Preemption is the set of tasks to evict for an urgent request.
-type Preemption struct {
-	Worker string
-	Jobs   []string
-	// LostMs is the work that the victims repeat.
-	LostMs int64
+// Displaceable is a worker with the tasks that urgent work may displace there.
+type Displaceable struct {
+	Free  resources.Resources
+	Tasks []Task
+	// Remote workers are outside the caller's region.
+	Remote bool
 }
 
-// OK reports whether victims were found.
-func (p Preemption) OK() bool { return p.Worker != "" }
-
 func latestFirst(a, b Task) int { return cmp.Compare(b.CheckpointMs, a.CheckpointMs) }
 
 // victims are the tasks of one worker, the latest checkpoint first, and per resource the sums of the k
@@ -45,94 +43,71 @@
 	sums  [countedVictims]resources.Resources
 }
 
-// PutTask records a task that may be displaced, or its newer checkpoint.
-func (x *Index) PutTask(worker string, task Task) {
-	if old := x.tasks[task.Job]; old != nil {
-		x.DropTask(task.Job)
-	}
-	e := x.entries[worker]
-	if e == nil {
-		return
-	}
-	x.tasks[task.Job] = e
-	v := &e.victims
-	at, _ := slices.BinarySearchFunc(v.tasks, task, latestFirst)
-	v.tasks = slices.Insert(v.tasks, at, task)
-	v.count()
-}
-
-// DropTask forgets a task that ended or moved.
-func (x *Index) DropTask(job string) {
-	e := x.tasks[job]
-	if e == nil {
-		return
-	}
-	delete(x.tasks, job)
-	v := &e.victims
-	v.tasks = slices.DeleteFunc(v.tasks, func(t Task) bool { return t.Job == job })
+func newVictims(tasks []Task) victims {
+	v := victims{tasks: slices.SortedFunc(slices.Values(tasks), latestFirst)}
 	v.count()
+	return v
 }
 
 // Preempt chooses the fewest victims on one worker that make room for an
-// urgent request; among equally many, the caller's region and then the least
-// lost work. One or two victims are found whenever they suffice on a worker
-// that is examined; more are chosen greedily. A worker with enough room needs
-// no victims.
-func (x *Index) Preempt(r Request, nowMs int64) Preemption {
-	var best plan
+// urgent task; among equally many, those on a worker of the caller's region and
+// then those that lose least work. One or two victims are found whenever they
+// suffice on a worker that is examined; more are chosen greedily. A worker with
+// enough room needs no victims. It returns -1 if there is no such worker.
+func Preempt(need resources.Resources, workers []Displaceable, nowMs int64) (at int, chosen []Task) {
+	best := plan{at: -1}
 	examined, most := 0, countedVictims
-	for k, entries := range x.byVictims(r) {
+	for k, group := range byVictims(need, workers) {
 		if k > most {
 			break
 		}
-		for _, e := range entries {
+		for _, c := range group {
 			if examined == examinedWorkers {
-				return best.preemption()
+				return best.at, best.victims
 			}
 			examined++
-			p := plan{entry: e, remote: e.Location.Region != r.Region}
+			w := &workers[c.at]
+			p := plan{at: c.at, remote: w.Remote}
 			var ok bool
-			p.victims, p.lost, ok = e.victims.choose(r.Need.Sub(e.Free), most, nowMs)
+			p.victims, p.lost, ok = c.victims.choose(need.Sub(w.Free), most, nowMs)
 			if ok && p.better(best) {
 				best, most = p, len(p.victims)
 			}
 		}
 	}
-	return best.preemption()
+	return best.at, best.victims
+}
+
+// counted is a worker with its victims counted.
+type counted struct {
+	at      int
+	victims victims
 }
 
 // byVictims groups the workers by the least number of victims that could make
-// room, in one pass. A group holds as many as are examined.
-func (x *Index) byVictims(r Request) [countedVictims + 1][]*entry {
-	groups := &x.groups
-	for k := range groups {
-		groups[k] = groups[k][:0]
-	}
-	for _, e := range x.order {
-		if e.Blocked {
-			continue
-		}
-		k := e.victims.atLeast(r.Need.Sub(e.Free))
-		if k > countedVictims || len(groups[k]) == examinedWorkers {
-			continue
-		}
-		if !slices.Contains(r.Exclude, e.ID) {
-			groups[k] = append(groups[k], e)
+// room. A group holds as many as are examined.
+func byVictims(need resources.Resources, workers []Displaceable) [countedVictims + 1][]counted {
+	var groups [countedVictims + 1][]counted
+	for i := range workers {
+		c := counted{at: i, victims: newVictims(workers[i].Tasks)}
+		k := c.victims.atLeast(need.Sub(workers[i].Free))
+		if k <= countedVictims && len(groups[k]) < examinedWorkers {
+			groups[k] = append(groups[k], c)
 		}
 	}
-	return *groups
+	return groups
 }
 
 type plan struct {
-	entry   *entry
+	at      int
 	victims []Task
 	remote  bool
 	lost    int64
 }
 
 func (p plan) better(o plan) bool {
-	if o.entry == nil || len(p.victims) != len(o.victims) {
-		return o.entry == nil || len(p.victims) < len(o.victims)
+	if o.at < 0 || len(p.victims) != len(o.victims) {
+		return o.at < 0 || len(p.victims) < len(o.victims)
 	}
 	if p.remote != o.remote {
 		return o.remote
@@ -140,17 +115,6 @@
 	return p.lost < o.lost
 }
 
-func (p plan) preemption() Preemption {
-	if p.entry == nil {
-		return Preemption{}
-	}
-	jobs := make([]string, len(p.victims))
-	for i, t := range p.victims {
-		jobs[i] = t.Job
-	}
-	return Preemption{Worker: p.entry.ID, Jobs: jobs, LostMs: p.lost}
-}
-
 func (v *victims) count() {
 	var column [3][]int64
 	for _, t := range v.tasks {
--- a/standin/store/fault.go
+++ b/standin/store/fault.go
@@ -10,8 +10,8 @@
 	"camphorhead.example/camphorhead/process/platform"
 )
 
-// Counts is the number of calls by kind, refused ones included. Leases and
-// deletes count as writes, a list as one read.
+// Counts is the number of calls by kind, refused ones included. A list counts as
+// one read, and so does a question for changes that does not wait.
 type Counts struct {
 	Reads, Writes, Watches uint64
 }
@@ -24,7 +24,7 @@
 	return Counts{c.Reads - o.Reads, c.Writes - o.Writes, c.Watches - o.Watches}
 }
 
-// Write is one change of a key. The end of a lease deletes its keys.
+// Write is one change of a key.
 type Write struct {
 	Key        string
 	Revision   uint64
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -135,7 +135,7 @@
 // platform.ErrUnavailable when MaxConnections calls are in progress.
 func (t *Target) Run(ctx context.Context, req Request) (Answer, error) {
 	if req.ID == "" {
-		return Answer{}, errs.Combine(platform.ErrRefused, errs.New("no request id"))
+		return Answer{}, errs.New("no request id")
 	}
 	if err := t.admit(); err != nil {
 		return Answer{}, err
