process/runs: withdraw starts that are not wanted any more

Cause: a start without an answer was repeated until the worker took it, also after the leader had ordered its end. Change: a start whose run is to end, or whose order is older than 1.5 s, is settled by a stop, after which the worker takes no copy of the start any more. Ruled out: the way of the cancelling to the leader (the start came from the agent's own repetition). Tests: TestCancelledStartIsNotRepeated and TestOldOrdersAreNotStarted fail without the change.

--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -19,6 +19,10 @@
 	// maxDialAttempts bounds the attempts to reach a worker for a start that
 	// was never sent.
 	maxDialAttempts = 5
+	// startWindow is how long after its order a start may be sent. A job may have
+	// been cancelled meanwhile by a leader that this agent does not hear, and
+	// nothing of it may start 3 s after that.
+	startWindow = 1500 * time.Millisecond
 )
 
 // orders carries out what the leader wants.
@@ -51,7 +55,7 @@
 		n.launch(r)
 	}
 	for _, key := range stops {
-		n.submit(func(ctx context.Context) { n.stopOnce(ctx, key) })
+		n.submit(func(ctx context.Context) { _ = n.stopOnce(ctx, key) }) // the leader repeats it
 	}
 	n.repeatStops(n.cfg.Clock.Now())
 	if refused {
@@ -155,6 +159,10 @@
 func (n *Node) startRun(ctx context.Context, r *run) {
 	dials := 0
 	for ctx.Err() == nil {
+		if n.outdated(r) {
+			n.withdraw(ctx, r)
+			return
+		}
 		req, end, wanted := n.startRequest(r)
 		if !wanted {
 			return
@@ -182,7 +190,7 @@
 		case errors.As(err, &refusal) && refusal.Reason == platform.RefusedFenced:
 			n.raise(req.Token)
 		case errors.As(err, &refusal) && refusal.Reason == platform.RefusedOld:
-			n.settleOld(ctx, r)
+			n.settle(ctx, r)
 			return
 		case errors.As(err, &refusal):
 			n.refuse(r, string(refusal.Reason), refusal.Reason == platform.RefusedSick)
@@ -223,13 +231,41 @@
 		// A worker that does not answer gets no longer lease.
 		req.LeaseUntilMs, end = 0, time.Time{}
 	}
-	if r.stopping && r.unanswered.IsZero() {
-		// It was not sent yet and is not wanted any more.
-		req.LeaseUntilMs = 0
-	}
 	return req, end, true
 }
 
+// outdated reports whether a start that has not succeeded yet must not be sent
+// any more.
+func (n *Node) outdated(r *run) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.runs[r.order.Key] == r && r.confirmed.IsZero() &&
+		(r.stopping || n.cfg.Clock.Since(r.startedAt) > startWindow)
+}
+
+// withdraw makes sure that a start never succeeds, or ends its run: after a stop
+// the worker refuses every copy of the start that it may still receive.
+func (n *Node) withdraw(ctx context.Context, r *run) {
+	if !n.hasUnanswered(r) {
+		n.refuse(r, "not wanted any more", false)
+		return
+	}
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		settled := n.runs[r.order.Key] != r || !r.confirmed.IsZero()
+		r.stopping = true
+		n.mu.Unlock()
+		if settled {
+			return // what is confirmed is stopped like any other run
+		}
+		if n.stopOnce(ctx, r.order.Key) == nil {
+			n.settle(ctx, r)
+			return
+		}
+		n.sleep(ctx, startPause)
+	}
+}
+
 func (n *Node) started(r *run, clockMs int64, began time.Time) {
 	now := n.cfg.Clock.Now()
 	n.mu.Lock()
@@ -274,9 +310,10 @@
 	return !r.unanswered.IsZero()
 }
 
-// settleOld settles a start that the worker refused because it knows this run
-// or a higher one: an earlier copy was carried out and has ended, or it never was.
-func (n *Node) settleOld(ctx context.Context, r *run) {
+// settle settles a start that the worker will not take any more, because it knows
+// this run or a higher one or was told to stop it: an earlier copy was carried
+// out, as the next listing shows, or never will be.
+func (n *Node) settle(ctx context.Context, r *run) {
 	asked := n.cfg.Clock.Now()
 	for ctx.Err() == nil {
 		n.mu.Lock()
@@ -306,12 +343,12 @@
 	}
 	n.mu.Unlock()
 	for _, key := range due {
-		n.submit(func(ctx context.Context) { n.stopOnce(ctx, key) })
+		n.submit(func(ctx context.Context) { _ = n.stopOnce(ctx, key) }) // repeated until a listing shows the end
 	}
 }
 
 // stopOnce asks the worker to end a run; its end shows in a listing.
-func (n *Node) stopOnce(ctx context.Context, key job.RunKey) {
+func (n *Node) stopOnce(ctx context.Context, key job.RunKey) error {
 	n.mu.Lock()
 	token, instance := n.token, n.instance
 	n.mu.Unlock()
@@ -325,4 +362,5 @@
 	if err != nil {
 		n.cfg.Log.Emit(event.StopNotTaken, "task", key.Task.String(), "run", key.Run, "error", err)
 	}
+	return err
 }
--- a/process/runs/runs_test.go
+++ b/process/runs/runs_test.go
@@ -235,3 +235,64 @@
 		return r.worker.highest[unknown.Task] == 3
 	})
 }
+
+// Guards against a task that starts after its job was cancelled, because its
+// start had no answer and was repeated.
+func TestCancelledStartIsNotRepeated(t *testing.T) {
+	for _, first := range []answerTo{late, unheard} {
+		r := newRig(t)
+		k := runKey("j", 1)
+		starts, stops := 0, 0
+		r.worker.setAnswer(func(call string) answerTo {
+			switch call {
+			case "start":
+				if starts++; starts == 1 {
+					r.node.markStopping(k)
+					return first
+				}
+			case "stop":
+				if stops++; stops == 1 {
+					return notSent
+				}
+			}
+			return answered
+		})
+		r.order(r.node, k)
+		r.eventually("the start is settled", func() bool {
+			r.look(r.node)
+			return !r.node.holds(k)
+		})
+		r.worker.carryOutLate()
+		require.False(t, r.worker.has(k), "the start was carried out after the cancelling")
+		require.Equal(t, 1, starts)
+	}
+}
+
+func (n *Node) markStopping(key job.RunKey) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.runs[key].stopping = true
+}
+
+// Guards against a start that is sent long after its order, when its job may
+// have been cancelled by a leader that this agent does not hear.
+func TestOldOrdersAreNotStarted(t *testing.T) {
+	r := newRig(t)
+	k := runKey("j", 1)
+	began, last := r.clock.Now(), time.Duration(0)
+	r.worker.setAnswer(func(call string) answerTo {
+		if call != "start" {
+			return answered
+		}
+		last = r.clock.Now().Sub(began)
+		return late
+	})
+	r.order(r.node, k)
+	r.eventually("the start is settled", func() bool {
+		r.look(r.node)
+		return !r.node.holds(k)
+	})
+	r.worker.carryOutLate()
+	require.False(t, r.worker.has(k), "an old order was carried out")
+	require.LessOrEqual(t, last, startWindow+startPause)
+}
