process/lead, process/entry: leave the rotation while the store or the leader is out of reach

Change: an entry whose calls of the store have failed for one call's time, or that has known no leader for 2 s, is not ready, closes its connections after their answer and refuses most calls at once (503, not run); a call that was sent without an answer ends after one and a half calls' time (504). While the store is out of reach the entry tries it by itself, so that it finds out that it is back. Tests: process/lead gets its first ones, for refusal, return and rotation.

--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -135,6 +135,10 @@
 			}
 		}()
 		handler(ctx)
+		if !e.takesJobs() {
+			// The balancer chooses an entry for each new connection only.
+			ctx.SetConnectionClose()
+		}
 	}
 }
 
@@ -146,10 +150,15 @@
 	return errs.Combine(e.front.jobs.ShutdownWithContext(ctx), e.front.ready.ShutdownWithContext(ctx))
 }
 
-// serveReady answers the balancer: an entry takes jobs once it has a
-// configuration and knows who leads.
+// takesJobs reports whether callers should come here: the entry is not stopping,
+// has a configuration, reaches the store and hears of the jobs.
+func (e *Entry) takesJobs() bool {
+	return e.ready.Load() && e.ConfigVersion() != 0 && e.node.InService()
+}
+
+// serveReady answers the balancer.
 func (e *Entry) serveReady(ctx *fasthttp.RequestCtx) {
-	if !e.ready.Load() || e.ConfigVersion() == 0 {
+	if !e.takesJobs() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 }
--- a/process/lead/commits.go
+++ b/process/lead/commits.go
@@ -58,6 +58,7 @@
 		}
 	}
 	err := l.writer.Write(ctx, open.batch)
+	l.node.reach.note(err)
 	l.conclude(now, open, err)
 	return err == nil
 }
--- a/process/lead/intake.go
+++ b/process/lead/intake.go
@@ -91,15 +91,26 @@
 	})
 }
 
-// persist repeats a call of the store until it is answered or ctx ends. What
-// the call writes must bear a repetition.
+// patienceHalves is how many halves of a call's time a caller waits for the store. Its
+// deadline leaves time to ask another entry after that, which the store may serve.
+const patienceHalves = 3
+
+// persist repeats a call of the store until it is answered, the patience is at its
+// end or ctx ends. What the call writes must bear a repetition. While the store is
+// known to be out of reach most calls are refused without an attempt.
 func (n *Node) persist(ctx context.Context, call func(context.Context) error) error {
+	if !n.reach.admit() {
+		n.cfg.Metrics.Add("store_calls_refused", 1)
+		return platform.ErrUnavailable
+	}
+	began := n.cfg.Clock.Now()
 	pause := minStorePause
 	var lostAt time.Time
 	for {
 		bounded, cancel := context.WithTimeout(ctx, n.cfg.Timing.Call)
 		err := call(bounded)
 		cancel()
+		n.reach.note(err)
 		if err == nil && !lostAt.IsZero() {
 			n.cfg.Log.Emit(event.StoreAnswerLost, "elapsed_ms", n.cfg.Clock.Since(lostAt).Milliseconds())
 		}
@@ -109,6 +120,9 @@
 		if lostAt.IsZero() && errors.Is(err, platform.ErrUncertain) {
 			lostAt = n.cfg.Clock.Now()
 		}
+		if n.cfg.Clock.Since(began) >= patienceHalves*n.cfg.Timing.Call/2 {
+			return err
+		}
 		n.cfg.Metrics.Add("store_retries", 1)
 		select {
 		case <-ctx.Done():
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -109,6 +109,10 @@
 	leaving atomic.Bool
 	// served is set while a leader is known that knows all jobs.
 	served atomic.Bool
+	reach  storeReach
+	// leaderlessSince is since when no leader is known that knows all jobs, in
+	// nanoseconds since 1970; 0: there is one.
+	leaderlessSince atomic.Int64
 	// busy is set while a step of the watch is carried out.
 	busy atomic.Bool
 
@@ -133,6 +137,7 @@
 		SilentAfter: cfg.Timing.Silence, PollEvery: cfg.Timing.Silence / beatsPerSilence,
 		Preference: cfg.Timing.Preference,
 	})
+	n.reach.clock, n.reach.outageAfter = cfg.Clock, cfg.Timing.Call
 	n.storePool = pool.New(storePoolWorkers, storePoolQueue)
 	return n
 }
@@ -265,6 +270,7 @@
 
 func (n *Node) tick(ctx context.Context) {
 	now := n.cfg.Clock.Now()
+	n.noteService(now)
 	if l := n.leading.Load(); l != nil {
 		l.tick(ctx, now)
 		n.serveOwnNotices(l)
@@ -275,6 +281,9 @@
 	n.mu.Lock()
 	step := n.watch.Next(now)
 	n.mu.Unlock()
+	if step == term.Nothing && n.reach.out() && n.reach.admit() {
+		step = term.ReadStore // nobody else finds out that the store is back
+	}
 	if step == term.Nothing || (step == term.ClaimTerm && n.leaving.Load()) || !n.busy.CompareAndSwap(false, true) {
 		return
 	}
@@ -312,6 +321,7 @@
 func (n *Node) readTerm(ctx context.Context) {
 	began := n.cfg.Clock.Now()
 	view, err := term.Read(ctx, n.cfg.Store)
+	n.reach.note(err)
 	now := n.cfg.Clock.Now()
 	n.mu.Lock()
 	if err == nil {
--- /dev/null
+++ b/process/lead/outage_test.go
@@ -0,0 +1,122 @@
+package lead
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/process/metrics"
+	"camphorhead.example/camphorhead/process/platform"
+	"camphorhead.example/camphorhead/process/pool"
+	"camphorhead.example/camphorhead/request/job"
+	"camphorhead.example/camphorhead/request/outcome"
+)
+
+const testCall = 700 * time.Millisecond
+
+// cutStore is a store that does not answer while cut is set; each such call
+// takes all of a caller's patience on the test's clock.
+type cutStore struct {
+	clock *clockwork.FakeClock
+	cut   bool
+	calls int
+}
+
+func (s *cutStore) answer() error {
+	s.calls++
+	if s.cut {
+		s.clock.Advance(patienceHalves * testCall / 2)
+		return platform.ErrUncertain
+	}
+	return nil
+}
+
+func (s *cutStore) Read(context.Context, string) (platform.KV, error) {
+	return platform.KV{}, s.answer()
+}
+
+func (s *cutStore) List(context.Context, string) ([]platform.KV, uint64, error) {
+	return nil, 1, s.answer()
+}
+
+func (s *cutStore) Commit(context.Context, platform.Txn) (uint64, error) { return 1, s.answer() }
+
+func (s *cutStore) Changes(context.Context, string, uint64, time.Duration) ([]platform.Change, uint64, error) {
+	return nil, 1, s.answer()
+}
+
+func newTestNode(t *testing.T) (*Node, *cutStore, *clockwork.FakeClock) {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	store := &cutStore{clock: clock}
+	workers := pool.New(2, 16)
+	n := New(Config{
+		Self: func() message.EntryInfo { return message.EntryInfo{ID: "entry"} }, Clock: clock, Store: store,
+		Pool: workers, Metrics: metrics.New(),
+		Timing: Timing{Call: testCall, Silence: 1500 * time.Millisecond, Retention: time.Minute},
+	})
+	t.Cleanup(func() {
+		n.storePool.Close()
+		workers.Close()
+	})
+	return n, store, clock
+}
+
+// Guards against callers that wait until their deadline at an entry which the
+// store does not serve, while other entries would take their jobs.
+func TestEntryWithoutStoreRefusesAtOnce(t *testing.T) {
+	n, store, clock := newTestNode(t)
+	def := &job.Definition{ID: "j", Steps: []job.Step{{Count: 1}}}
+	require.True(t, n.InService())
+	store.cut = true
+	began := clock.Now()
+	_, _, err := n.Create(t.Context(), def)
+	require.Equal(t, outcome.StoreUncertain, outcome.From(err).Kind, "a call without an answer may have taken effect")
+	require.LessOrEqual(t, clock.Since(began), 2*testCall)
+	clock.Advance(testCall)
+	require.False(t, n.InService())
+
+	_, _, err = n.Create(t.Context(), def) // the one that tries the store
+	require.Equal(t, outcome.StoreUncertain, outcome.From(err).Kind)
+	calls, now := store.calls, clock.Now()
+	n.reach.probedAt.Store(now.UnixNano())
+	_, _, err = n.Create(t.Context(), def)
+	require.Equal(t, outcome.StoreUnavailable, outcome.From(err).Kind)
+	require.Equal(t, outcome.RanNo, outcome.From(err).Ran())
+	require.Equal(t, calls, store.calls)
+	require.Equal(t, now, clock.Now())
+}
+
+// Guards against an entry that never takes requests again after an outage,
+// because no request comes to find out that the store is back.
+func TestEntryFindsThatTheStoreIsBack(t *testing.T) {
+	n, store, clock := newTestNode(t)
+	n.served.Store(true)
+	store.cut = true
+	n.reach.note(store.answer())
+	clock.Advance(testCall)
+	require.False(t, n.InService())
+	store.cut = false
+	clock.Advance(probeInterval)
+	n.tick(t.Context())
+	require.Eventually(t, n.InService, 5*time.Second, time.Millisecond)
+}
+
+// Guards against an entry that stays in the balancer's rotation although no
+// leader tells it of the jobs, and against one that leaves it at each change of
+// the leader.
+func TestEntryWithoutLeaderIsOutOfService(t *testing.T) {
+	n, _, clock := newTestNode(t)
+	n.noteService(clock.Now())
+	clock.Advance(leaderlessTime - time.Millisecond)
+	require.True(t, n.InService())
+	clock.Advance(time.Millisecond)
+	require.False(t, n.InService())
+	n.served.Store(true)
+	n.noteService(clock.Now())
+	require.True(t, n.InService())
+}
