process/schedule, platform: ask the policy service and start with its tickets

Change: a step of such a profile is placed on workers with a valid ticket only; the table asks for up to 30 workers with room, one question a step at a time; a ticket ends with its time, with the life of its worker or when it is refused.

--- a/cmd/camphorhead/roles.go
+++ b/cmd/camphorhead/roles.go
@@ -52,6 +52,9 @@
 			Key: adapter.ManifestKey, Prefix: adapter.ManifestPrefix, Decode: adapter.DecodeManifest,
 		}
 	}
+	if cfg.Advice.Address != "" {
+		deps.Advisor = adapter.NewAdvisor(cfg.Advice.Address)
+	}
 	if cfg.Jobs.Listen != "" {
 		deps.Front = func(e *entry.Entry) fasthttp.RequestHandler { return adapter.JobsHandler(e) }
 	}
--- a/connection/message/runs.go
+++ b/connection/message/runs.go
@@ -241,6 +241,10 @@
 // RefusedInput is the reason of a refusal when the agent lacks the job's input.
 const RefusedInput = "no_input"
 
+// RefusedTicket is the reason of a refusal when the worker does not accept the
+// ticket of the policy service.
+const RefusedTicket = "ticket"
+
 // Announce names the holder of a new term.
 type Announce struct {
 	Term     uint64    `msgpack:"t"`
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -52,6 +52,8 @@
 	Clock clockwork.Clock
 	Log   event.Logger
 	Store platform.Store
+	// Advisor is the policy service; nil: there is none.
+	Advisor platform.Advisor
 	// Delays are the one-way delays that routing assumes.
 	Delays routing.Settings
 	// Manifest is the configuration, where operators write it to the store
--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -32,7 +32,7 @@
 func (e *Entry) newNode() *lead.Node {
 	l := e.cfg.Lease
 	return lead.New(lead.Config{
-		Self: e.info, Clock: e.clock, Log: e.log, Store: e.store, Net: e.net, Pool: e.pool, Metrics: e.metrics,
+		Self: e.info, Clock: e.clock, Log: e.log, Store: e.store, Advisor: e.deps.Advisor, Net: e.net, Pool: e.pool, Metrics: e.metrics,
 		Timing: lead.Timing{
 			Lease: l.Task(), Heartbeat: l.Heartbeat(), Silence: l.Leader(), Outage: l.Outage(),
 			Retention: e.cfg.Records.Retention(), Settle: settleTime, Checkpoint: e.cfg.Records.Checkpoint(),
--- a/process/event/catalogue.go
+++ b/process/event/catalogue.go
@@ -113,6 +113,8 @@
 	{ServingOverTarget, "serving_over_target", Info, "serving task is over its latency target", fields("task run tail_ms target_ms"), "If it lasts while nothing fills the worker, the task needs more processors."},
 	{RunPaced, "run_paced", Info, "filling task works at a share of its speed", fields("task run percent"), none},
 	{RoomClaimed, "room_claimed", Info, "runs are stopped to make room for urgent work", fields("job agent tasks"), none},
+	{AdviceGiven, "advice_given", Info, "policy service has said which workers may run a step", fields("job workers tickets elapsed_ms"), none},
+	{AdviceMissing, "advice_missing", Error, "policy service gave no answer", fields("job workers error"), "Check the policy service. Steps of profiles that ask it wait."},
 }
 
 var operatorEvents = []Definition{
--- a/process/event/field.go
+++ b/process/event/field.go
@@ -58,6 +58,7 @@
 	"task":             "id",
 	"tasks":            "count",
 	"term":             "count",
+	"tickets":          "count",
 	"unfinished":       "count",
 	"unproven":         "count",
 	"version":          "version",
--- a/process/event/id.go
+++ b/process/event/id.go
@@ -112,6 +112,8 @@
 	ServingOverTarget
 	RunPaced
 	RoomClaimed
+	AdviceGiven
+	AdviceMissing
 )
 
 // Operators: 8000 to 8999.
--- a/process/lead/leading.go
+++ b/process/lead/leading.go
@@ -264,6 +264,7 @@
 	for l.dispatchWanted.Swap(false) {
 		if l.valid() && !l.resigning.Load() {
 			l.sendOrders(l.table.Dispatch(l.node.cfg.Clock.Now()))
+			l.askAdvice()
 		}
 	}
 	l.dispatching.Store(false)
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -60,10 +60,12 @@
 
 // Config sets up a Node.
 type Config struct {
-	Self    func() message.EntryInfo
-	Clock   clockwork.Clock
-	Log     event.Logger
-	Store   platform.Store
+	Self  func() message.EntryInfo
+	Clock clockwork.Clock
+	Log   event.Logger
+	Store platform.Store
+	// Advisor is the policy service; nil: there is none.
+	Advisor platform.Advisor
 	Net     *peer.Network
 	Pool    *pool.Pool
 	Metrics *metrics.Registry
@@ -94,6 +96,8 @@
 	// maxStoreTrip bounds what a slow store adds to the preference.
 	maxStoreTrip   = 80 * time.Millisecond
 	storePoolQueue = 256
+	// adviceQueue bounds the questions to the policy service that wait.
+	adviceQueue = 256
 )
 
 // Node is an entry's part in leading and following.
@@ -102,7 +106,9 @@
 	jobs      *jobstore.Jobs
 	states    *states
 	storePool *pool.Pool
-	ticker    *pool.Ticker
+	// advice asks the policy service, which serves a process one call at a time.
+	advice *pool.Pool
+	ticker *pool.Ticker
 	// leading is the term that this process leads; nil while it follows.
 	leading atomic.Pointer[leading]
 	// leaving is set once this process is to end or a planned stop covers it.
@@ -139,6 +145,7 @@
 	})
 	n.reach.clock, n.reach.outageAfter = cfg.Clock, cfg.Timing.Call
 	n.storePool = pool.New(storePoolWorkers, storePoolQueue)
+	n.advice = pool.New(1, adviceQueue)
 	return n
 }
 
@@ -182,6 +189,7 @@
 	}
 	n.ticker.Stop()
 	n.storePool.Close()
+	n.advice.Close()
 }
 
 // leadingLoaded returns the term that this process leads, once it knows the
--- a/process/platform/worker.go
+++ b/process/platform/worker.go
@@ -119,3 +119,11 @@
 	// Throttle lets a run work at a share of its speed, in percent.
 	Throttle(ctx context.Context, run job.RunKey, percent int, token int64, instance string) error
 }
+
+// Advisor is the platform's policy service.
+type Advisor interface {
+	// Advise returns the tickets of those workers that may run the tasks of a
+	// step; the index of the step's name has no meaning. The leader calls it, one
+	// call at a time, with at most 100 workers.
+	Advise(ctx context.Context, step job.TaskID, workers []string) (tickets map[string]string, err error)
+}
--- a/process/schedule/ends.go
+++ b/process/schedule/ends.go
@@ -181,6 +181,10 @@
 		t.starts.answered++
 		t.setHealth(a, a.health.startFailed(now, t.starts.answered))
 	}
+	if r.Reason == message.RefusedTicket {
+		delete(run.task.step.advice.verdicts, a.life())
+		a.heldBack = time.Time{}
+	}
 	if r.Reason == message.RefusedInput {
 		delete(run.task.step.job().inputAt, a.id)
 		a.heldBack = time.Time{}
--- a/process/schedule/orders.go
+++ b/process/schedule/orders.go
@@ -54,7 +54,7 @@
 func startOrder(run *runState) message.StartRun {
 	def, j := run.task.step.def, run.task.step.job()
 	o := message.StartRun{
-		Key: run.key(), Need: def.Need, Charge: def.Charge(), Checkpoint: run.task.checkpoint,
+		Key: run.key(), Need: def.Need, Charge: def.Charge(), Checkpoint: run.task.checkpoint, Ticket: run.ticket,
 		Image: def.Image, TargetMs: def.TargetMs, Fills: def.Fills, Lasts: def.Lasts, Profile: j.def.Profile,
 	}
 	if r := j.def.Request; r != nil {
--- a/process/schedule/place.go
+++ b/process/schedule/place.go
@@ -95,6 +95,7 @@
 // placeStep places as many tasks of a step as there is room for.
 func (t *Table) placeStep(now time.Time, v *view, c candidate) {
 	s := c.step
+	defer t.consult(v, c)
 	if s.def.Gang {
 		t.placeGang(now, v, c)
 		return
@@ -125,7 +126,7 @@
 		case at < 0 && ask.Excluded != nil:
 			continue // other tasks of the step may use more workers
 		case at < 0:
-			if s.def.Spread == 0 && onlyRack == "" {
+			if s.def.Spread == 0 && onlyRack == "" && ask.Barred == nil {
 				v.full[kind] = struct{}{}
 			}
 			return // the other tasks of the step need the same
@@ -218,6 +219,7 @@
 		rooms := t.fillRooms(v, s.def.Image)
 		ask.FillRoom = func(i int) int64 { return rooms[i] }
 	}
+	ask.Barred = t.barred(v, c)
 	r := s.job().def.Request
 	if r == nil {
 		return ask
@@ -277,6 +279,7 @@
 func (t *Table) assignRun(now time.Time, task *taskState, a *agentState, number uint32) {
 	task.step.pending--
 	run := t.activate(now, task, a, number)
+	run.ticket, _ = task.step.ticketAt(now, a)
 	a.starts = append(a.starts, run)
 	if task.step.pending == 0 {
 		delete(t.ready, task.step)
--- a/process/schedule/starts.go
+++ b/process/schedule/starts.go
@@ -213,7 +213,7 @@
 		node := a.node
 		node.Open = t.open(v.now, a)
 		spread := ask.Spread == 0 || task.step.onAgent[a.id] < ask.Spread
-		if near && spread && ask.Fits(&node) && !slices.Contains(task.avoid, a.id) {
+		if near && spread && ask.Fits(&node) && (ask.Barred == nil || !ask.Barred(i)) && !slices.Contains(task.avoid, a.id) {
 			t.setHealth(a, a.health.tried(v.now, t.starts.answered))
 			return i
 		}
--- a/process/schedule/state.go
+++ b/process/schedule/state.go
@@ -57,6 +57,8 @@
 	// chain is the longest chain of estimated work from this step on, in
 	// milliseconds.
 	chain int64
+	// advice is what the policy service said, for a profile that asks one.
+	advice stepAdvice
 }
 
 type taskPhase uint8
@@ -107,8 +109,10 @@
 	progressAt time.Time
 	// checkpointAt is when the checkpoint last changed.
 	checkpointAt time.Time
-	pace         int
-	milliCPU     int // as last reported; 0: not yet
+	// ticket is the permission of the policy service, if the step needs one.
+	ticket   string
+	pace     int
+	milliCPU int // as last reported; 0: not yet
 	// confirmed is when the agent first listed the run; zero: not yet.
 	confirmed time.Time
 	// cause says why the leader stopped the run to place its task elsewhere.
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -117,6 +117,8 @@
 	// since the followers were told.
 	summaries map[string]struct{}
 	gone      []string
+	// questions wait for the leader to ask the policy service.
+	questions []Question
 	// resultBytes is the size of the results that are kept.
 	resultBytes int
 }
--- a/process/settings/contradiction.go
+++ b/process/settings/contradiction.go
@@ -43,6 +43,9 @@
 		if form := s.Store.Configuration; form != "" && form != ConfigurationLog && form != ConfigurationDocument {
 			c.refuse("store.configuration", "must be %q or %q", ConfigurationLog, ConfigurationDocument)
 		}
+		if s.Advice.Address != "" {
+			c.address("advice.address", s.Advice.Address, false)
+		}
 		if s.Jobs != (Jobs{}) {
 			c.address("jobs.listen", s.Jobs.Listen, true)
 			c.address("jobs.ready", s.Jobs.Ready, true)
@@ -82,6 +85,7 @@
 		refuse("worker", s.Worker != Worker{})
 	case RoleAgent:
 		refuse("jobs", s.Jobs != Jobs{})
+		refuse("advice", s.Advice != Advice{})
 		if s.Worker.Protocol != ProtocolPlatform {
 			refuse("store", s.Store != Store{})
 		}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -25,6 +25,7 @@
 	Worker  Worker  `toml:"worker,omitempty"`
 	Entries Entries `toml:"entries"`
 	Jobs    Jobs    `toml:"jobs,omitempty"`
+	Advice  Advice  `toml:"advice,omitempty"`
 	Lease   Lease   `toml:"lease"`
 	Records Records `toml:"records,omitempty"`
 	Limits  Limits  `toml:"limits"`
@@ -115,6 +116,12 @@
 	Ready string `toml:"ready"`
 }
 
+// Advice is the policy service that says which workers may run a step.
+type Advice struct {
+	// Address is host and port; empty: there is no such service.
+	Address string `toml:"address,omitempty"`
+}
+
 // Entries lists entries to contact first.
 type Entries struct {
 	Seeds []string `toml:"seeds,omitempty"`
--- a/request/placement/pick.go
+++ b/request/placement/pick.go
@@ -61,6 +61,8 @@
 	Slowdown func(i int) float64
 	// Withheld tells the workers whose free room is kept for urgent work; nil: none.
 	Withheld func(i int) bool
+	// Barred tells the workers that may not run the task by its policy; nil: all may.
+	Barred func(i int) bool
 	// Excluded tells the workers that may not be chosen now; nil: none.
 	Excluded func(i int) bool
 }
@@ -152,7 +154,7 @@
 	best, least := -1, 0.0
 	for i, n := range nodes {
 		if !a.Fits(n) || (a.Spread > 0 && onNode(i) >= a.Spread) || (a.Withheld != nil && a.Withheld(i)) ||
-			(a.Excluded != nil && a.Excluded(i)) {
+			(a.Barred != nil && a.Barred(i)) || (a.Excluded != nil && a.Excluded(i)) {
 			continue
 		}
 		var room int64
