process/runs, process/lead: tell of a silent worker, name no leader that has gone

Change: a change of presence is reported; a refusal for want of a lease keeps new work away for a second; the leader's address is empty while the leader is known to be gone. Ruled out: the agents' network (the worker refused to be dialled).

--- a/connection/message/runs.go
+++ b/connection/message/runs.go
@@ -241,6 +241,10 @@
 // RefusedInput is the reason of a refusal when the agent lacks the job's input.
 const RefusedInput = "no_input"
 
+// RefusedLease is the reason of a refusal when the agent may give its worker no
+// longer lease, because the worker does not answer or the leader is not heard.
+const RefusedLease = "no_lease"
+
 // RefusedTicket is the reason of a refusal when the worker does not accept the
 // ticket of the policy service.
 const RefusedTicket = "ticket"
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -268,11 +268,15 @@
 // Waiting returns the number of accepted jobs that have not begun.
 func (n *Node) Waiting() int { return n.states.waitingJobs() }
 
-// Leader returns where the leader is, as far as this process knows.
+// Leader returns where the leader is, as far as this process knows; the address
+// is empty while it knows that there is none.
 func (n *Node) Leader() message.Leader {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	v := n.watch.View()
+	if n.watch.LeaderGone() || v.Mine(n.cfg.Self()) && n.leading.Load() == nil {
+		return message.Leader{Term: v.Term} // the next term has not begun yet
+	}
 	return message.Leader{Term: v.Term, Address: v.Holder.Address}
 }
 
--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -169,7 +169,7 @@
 		}
 		if req.LeaseUntilMs == 0 {
 			if !n.hasUnanswered(r) {
-				n.refuse(r, "no lease", false)
+				n.refuse(r, message.RefusedLease, false)
 				return
 			}
 			// A copy may have been carried out; the worker's answer or the end of
--- a/process/runs/node.go
+++ b/process/runs/node.go
@@ -265,7 +265,7 @@
 		}
 	}
 	return a.ID == b.ID && a.BornMs == b.BornMs && a.Service == b.Service && a.Capacity == b.Capacity &&
-		a.Rack == b.Rack && a.Draining == b.Draining
+		a.Rack == b.Rack && a.Draining == b.Draining && a.Present == b.Present
 }
 
 // tick repeats what was not answered and reports when a heartbeat is due.
--- a/process/runs/runs_test.go
+++ b/process/runs/runs_test.go
@@ -296,3 +296,23 @@
 	require.False(t, r.worker.has(k), "an old order was carried out")
 	require.LessOrEqual(t, last, startWindow+startPause)
 }
+
+// Guards against a leader that goes on ordering runs at a worker which does not
+// answer, because nobody told it so.
+func TestSilentWorkerIsReported(t *testing.T) {
+	r := newRig(t)
+	require.True(t, full(r.node).Worker.Present)
+	r.worker.setAnswer(always(notSent))
+	r.clock.Advance(testWorkerLease)
+	r.look(r.node)
+	report := message.Report{}
+	r.node.fill(&report, 0)
+	require.NotNil(t, report.Worker)
+	require.False(t, report.Worker.Present)
+	r.worker.setAnswer(always(answered))
+	r.look(r.node)
+	report = message.Report{}
+	r.node.fill(&report, 0)
+	require.NotNil(t, report.Worker)
+	require.True(t, report.Worker.Present)
+}
--- a/process/schedule/ends.go
+++ b/process/schedule/ends.go
@@ -15,6 +15,9 @@
 	// refusalPause is how long an agent gets nothing new after it refused a
 	// start for want of room: its next report shows the room that it has.
 	refusalPause = 200 * time.Millisecond
+	// leasePause is how long an agent gets nothing new after it had no lease for a
+	// start: by then it has told that its worker is silent, or reports again.
+	leasePause = time.Second
 )
 
 // noteEnd takes in the end of a run. It is acknowledged once the job is durable.
@@ -181,6 +184,9 @@
 		t.starts.answered++
 		t.setHealth(a, a.health.startFailed(now, t.starts.answered))
 	}
+	if r.Reason == message.RefusedLease {
+		a.heldBack = now.Add(leasePause)
+	}
 	if r.Reason == message.RefusedTicket {
 		delete(run.task.step.advice.verdicts, a.life())
 		a.heldBack = time.Time{}
--- a/process/term/watch.go
+++ b/process/term/watch.go
@@ -71,6 +71,9 @@
 // Term returns the newest term known.
 func (w *Watch) Term() uint64 { return w.view.Term }
 
+// LeaderGone reports whether the leader in view is known to lead no more.
+func (w *Watch) LeaderGone() bool { return !w.goneAt.IsZero() }
+
 // Heard takes in a direct sign of life of a leader. trouble says that the
 // store does not serve it.
 func (w *Watch) Heard(now time.Time, term, beat uint64, trouble bool) {
