--- /dev/null
+++ b/cmd/camphorheadctl/explain.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"camphorhead.example/camphorheadctl/story"
+)
+
+// explainCommand tells from logs what became of one request or job.
+type explainCommand struct {
+	app *app
+
+	Logs string `long:"logs" value-name:"PATH" default:"-" description:"file or folder of logs in JSON, or - for stdin"`
+	Args struct {
+		ID string `positional-arg-name:"ID" required:"yes" description:"id of a request or a job"`
+	} `positional-args:"yes"`
+}
+
+func (a *app) addExplain(parent *flags.Command) error {
+	_, err := parent.AddCommand("explain", "tell from logs what became of a request or a job",
+		"Merges the logs of several processes and prints the lines about one request or job, with what happened meanwhile at the processes involved.",
+		&explainCommand{app: a})
+	return err
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	lines, unreadable, err := c.read()
+	if err != nil {
+		return err
+	}
+	told := story.Of(lines, c.Args.ID)
+	if unreadable > 0 {
+		fmt.Fprintf(c.app.err, "camphorheadctl: %d lines could not be read\n", unreadable)
+	}
+	if len(told) == 0 {
+		return fmt.Errorf("no line names %q", c.Args.ID)
+	}
+	if c.app.options.JSON {
+		return json.NewEncoder(c.app.out).Encode(told)
+	}
+	for _, l := range told {
+		fmt.Fprintf(c.app.out, "%8.3f  %-24s %s%s\n", l.At.Sub(told[0].At).Seconds(), l.Process, l.Message, fieldsOf(l))
+	}
+	return nil
+}
+
+func fieldsOf(l story.Line) string {
+	var text strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		if value := l.Fields[name]; value != "" {
+			fmt.Fprintf(&text, " %s=%v", name, value)
+		}
+	}
+	return text.String()
+}
+
+// read reads all logs that the flag names.
+func (c *explainCommand) read() (lines []story.Line, unreadable int, err error) {
+	if c.Logs == "-" {
+		return story.Read(c.app.in)
+	}
+	files := []string{c.Logs}
+	if info, err := os.Stat(c.Logs); err != nil {
+		return nil, 0, usageError.Wrap(err)
+	} else if info.IsDir() {
+		if files, err = filepath.Glob(filepath.Join(c.Logs, "*")); err != nil {
+			return nil, 0, usageError.Wrap(err)
+		}
+	}
+	for _, file := range files {
+		more, bad, err := readLog(file)
+		if err != nil {
+			return nil, 0, err
+		}
+		lines, unreadable = append(lines, more...), unreadable+bad
+	}
+	return lines, unreadable, nil
+}
+
+func readLog(path string) (lines []story.Line, unreadable int, err error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func(closer io.Closer) { _ = closer.Close() }(file) // nothing was written to it
+	return story.Read(file)
+}
