process/lead: name a successor when a term is given up

Change: the leader names the entry that would wait least as its successor, which does not wait; an entry that stops follows again as one that leaves. Test: TestAppointedEntryDoesNotWait.

--- a/connection/message/runs.go
+++ b/connection/message/runs.go
@@ -166,6 +166,9 @@
 	Term uint64 `msgpack:"t"`
 	// Leaving entries take no part in what entries share any more.
 	Leaving bool `msgpack:"l,omitempty"`
+	// PreferenceMs is how long the entry would let others go first in the choice
+	// of the next leader.
+	PreferenceMs int64 `msgpack:"p,omitempty"`
 }
 
 // FollowReply accepts a follower, or names the leader.
@@ -194,10 +197,12 @@
 	Beat uint64 `msgpack:"b"`
 	// Trouble says that the store does not serve the leader, Resigned that it
 	// has given the term up.
-	Trouble  bool          `msgpack:"x,omitempty"`
-	Resigned bool          `msgpack:"r,omitempty"`
-	Jobs     []JobUpdate   `msgpack:"j,omitempty"`
-	Waiting  []QueueLength `msgpack:"w,omitempty"`
+	Trouble  bool `msgpack:"x,omitempty"`
+	Resigned bool `msgpack:"r,omitempty"`
+	// Successor is the entry that begins the next term at once, after Resigned.
+	Successor string        `msgpack:"u,omitempty"`
+	Jobs      []JobUpdate   `msgpack:"j,omitempty"`
+	Waiting   []QueueLength `msgpack:"w,omitempty"`
 	// ConfigVersion is the configuration version in force at the leader.
 	ConfigVersion uint64 `msgpack:"v,omitempty"`
 	// Entries are the entries that the leader knows.
--- a/process/lead/following.go
+++ b/process/lead/following.go
@@ -111,9 +111,12 @@
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.Timing.Silence/2)
 	defer cancel()
 	var reply message.FollowReply
+	n.mu.Lock()
+	preference := n.watch.Preference()
+	n.mu.Unlock()
 	conn, err := n.cfg.Net.Conn(ctx, f.address)
 	if err == nil {
-		err = conn.Call(ctx, message.KindFollow, message.Follow{Entry: n.cfg.Self(), Term: f.term, Leaving: n.leaving.Load()}, &reply)
+		err = conn.Call(ctx, message.KindFollow, message.Follow{Entry: n.cfg.Self(), Term: f.term, Leaving: n.leaving.Load(), PreferenceMs: preference.Milliseconds()}, &reply)
 	}
 	now := n.cfg.Clock.Now()
 	n.mu.Lock()
@@ -167,6 +170,9 @@
 	now := n.cfg.Clock.Now()
 	n.mu.Lock()
 	if u.Resigned {
+		if u.Successor == n.cfg.Self().ID {
+			n.watch.Appoint(u.Term)
+		}
 		n.watch.Gone(now, u.Term)
 	} else {
 		n.watch.Heard(now, u.Term, u.Beat, u.Trouble)
--- a/process/lead/leading.go
+++ b/process/lead/leading.go
@@ -324,7 +324,26 @@
 		}
 	}
 	l.node.stepDown(l, "process stops")
+	last := message.Update{Term: l.number, Resigned: true, Successor: l.successor()}
 	for _, conn := range l.followerConns() {
-		_ = conn.Notify(message.KindUpdate, &message.Update{Term: l.number, Resigned: true})
+		_ = conn.Notify(message.KindUpdate, &last) // an entry that misses it finds the term given up
 	}
 }
+
+// successor chooses the entry to begin the next term: the one that would let
+// others go first for the shortest time. It is empty when there is none.
+func (l *leading) successor() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var best message.Follow
+	for c, f := range l.mu.followers {
+		if c.Closed() || f.Leaving {
+			continue
+		}
+		if best.Entry.ID == "" || f.PreferenceMs < best.PreferenceMs ||
+			f.PreferenceMs == best.PreferenceMs && f.Entry.ID < best.Entry.ID {
+			best = f
+		}
+	}
+	return best.Entry.ID
+}
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -158,6 +158,9 @@
 // over, or when ctx ends; this entry begins no further term.
 func (n *Node) HandOver(ctx context.Context) {
 	n.leaving.Store(true)
+	n.mu.Lock()
+	n.follow = nil // it follows again as one that leaves
+	n.mu.Unlock()
 	for l := n.leading.Load(); l != nil && ctx.Err() == nil; l = n.leading.Load() {
 		if l.loaded.Load() && len(l.followerConns()) > 0 {
 			l.resign(ctx)
@@ -178,7 +181,7 @@
 func (n *Node) Leave(ctx context.Context) {
 	n.HandOver(ctx)
 	n.mu.Lock()
-	n.follow = nil // it follows again as one that leaves
+	n.follow = nil // now of the leader that took over
 	n.mu.Unlock()
 }
 
--- a/process/term/term_test.go
+++ b/process/term/term_test.go
@@ -155,3 +155,27 @@
 	w.Gone(start, 3)
 	require.Equal(t, Nothing, w.Next(start.Add(timing.SilentAfter/4)))
 }
+
+// Guards against a pause without a leader after one has given its term up in
+// good order, and against an appointment that outlives its term.
+func TestAppointedEntryDoesNotWait(t *testing.T) {
+	slow := timing
+	slow.Preference = time.Second
+	for appointed, most := range map[uint64]time.Duration{3: slow.Preference / 2, 2: time.Minute} {
+		w := NewWatch(slow)
+		start := time.Unix(1000, 0)
+		w.Saw(start, viewOf(3, 1))
+		w.Appoint(appointed)
+		w.Gone(start, 3)
+		at, ok := run(&w, start, time.Minute, func(now time.Time, step Step) {
+			if step == ReadStore {
+				w.Saw(now, viewOf(3, 1))
+			}
+		})
+		require.True(t, ok)
+		require.Less(t, at, most)
+		if appointed != 3 {
+			require.GreaterOrEqual(t, at, slow.Preference)
+		}
+	}
+}
--- a/process/term/watch.go
+++ b/process/term/watch.go
@@ -51,6 +51,9 @@
 	servedAt time.Time
 	// emptyAt is when the store was first seen without any term.
 	emptyAt time.Time
+	// appointed is the term after which this entry is to lead without letting
+	// others go first.
+	appointed uint64
 	// yieldUntil is until when this entry leaves the next term to others.
 	yieldUntil time.Time
 }
@@ -61,6 +64,13 @@
 // Prefer sets how long this entry lets others go first.
 func (w *Watch) Prefer(d time.Duration) { w.timing.Preference = d }
 
+// Preference returns how long this entry lets others go first.
+func (w *Watch) Preference() time.Duration { return w.timing.Preference }
+
+// Appoint takes in that the leader of a term, who gives it up, wants this entry
+// to begin the next one.
+func (w *Watch) Appoint(term uint64) { w.appointed = term }
+
 // Yield leaves the next term to others for a while, after this entry has given
 // up one because it reaches too little.
 func (w *Watch) Yield(until time.Time) { w.yieldUntil = until }
@@ -155,7 +165,11 @@
 // doubt reports whether the leader may be lost, and whether this entry should
 // take its place.
 func (w *Watch) doubt(now time.Time) (doubt, ready bool) {
-	since := func(at time.Time) bool { return !at.IsZero() && now.Sub(at) >= w.timing.Preference }
+	preference := w.timing.Preference
+	if w.appointed != 0 && w.appointed == w.view.Term {
+		preference = 0
+	}
+	since := func(at time.Time) bool { return !at.IsZero() && now.Sub(at) >= preference }
 	switch {
 	case w.view.Term == 0:
 		return true, since(w.emptyAt)
