process/schedule: count all failures of earlier terms before a failed run is followed by another

Change: such a task waits until each agent of the earlier term has reported or is certainly without runs. Other ends need no wait: the leader before started the run with an attempt left. Ruled out: failures counted twice or lost (the agents' lists named them). Tests: TestAttemptsWaitForAllReports fails without the change; TestAdoptedFailureIsTriedAgain guards the way on.

--- a/process/schedule/jobs.go
+++ b/process/schedule/jobs.go
@@ -151,7 +151,7 @@
 				continue
 			}
 			if unknown {
-				task.phase = taskUnknown
+				task.phase, task.restored = taskUnknown, true
 			} else {
 				s.pending++
 			}
--- a/process/schedule/state.go
+++ b/process/schedule/state.go
@@ -83,6 +83,9 @@
 	run        *runState
 	avoid      []string
 	endedAt    time.Time
+	// restored tasks may have failed in an earlier term at agents that have not
+	// reported in this one.
+	restored bool
 	// savedAt is when the checkpoint was last made durable.
 	savedAt time.Time
 	// claim is the worker at which room is being made for the task.
--- a/process/schedule/world_test.go
+++ b/process/schedule/world_test.go
@@ -506,3 +506,45 @@
 	_, agent := only(t, b.starts())
 	require.Equal(t, "b", agent)
 }
+
+// Guards against one start too many when a new leader hears of the failures of
+// earlier runs one after the other.
+func TestAttemptsWaitForAllReports(t *testing.T) {
+	b := newBench(t, 2)
+	agents := map[string]time.Time{}
+	for _, agent := range []string{"a", "b", "c"} {
+		agents[agent] = b.now().Add(time.Minute)
+	}
+	def := definition("j", checks, 1)
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, agents)
+	full := func(agent string, r message.Report) {
+		r.Session, r.Full, r.Worker = 1, true, workerInfo(agent)
+		b.report(agent, r)
+		b.register()
+	}
+	full("d", message.Report{}) // has room all the time
+	full("a", message.Report{Running: []message.RunState{{Key: key("j", 0, 0, 3), PacePct: fullPace}}})
+	b.report("a", message.Report{Ends: []message.RunEnd{ended(key("j", 0, 0, 3), job.EndFailed, 1)}})
+	full("b", message.Report{Ends: []message.RunEnd{ended(key("j", 0, 0, 2), job.EndFailed, 1)}})
+	require.Empty(t, b.starts(), "the third failure is not known yet")
+	full("c", message.Report{Ends: []message.RunEnd{ended(key("j", 0, 0, 1), job.EndFailed, 1)}})
+	b.tick()
+	require.Empty(t, b.starts())
+	b.commit()
+	require.Equal(t, job.Failed, b.state("j"))
+}
+
+// Guards against a restored task that never runs again after its adopted run has
+// failed within its attempts.
+func TestAdoptedFailureIsTriedAgain(t *testing.T) {
+	b := newBench(t, 2)
+	def := definition("j", checks, 1)
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, map[string]time.Time{"a": b.now().Add(time.Minute), "b": b.now().Add(time.Minute)})
+	b.report("a", message.Report{Session: 1, Full: true, Worker: workerInfo("a"), Running: []message.RunState{{Key: key("j", 0, 0, 1), PacePct: fullPace}}})
+	b.report("a", message.Report{Ends: []message.RunEnd{ended(key("j", 0, 0, 1), job.EndFailed, 1)}})
+	b.register()
+	require.Empty(t, b.starts())
+	b.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b")})
+	b.register()
+	only(t, b.starts())
+}
