process/entry, process/lead: short questions for changes, wait in an outage for all

Change: questions wait 1.5 s; requests wait as long as the leader says that the store does not serve it either; a task whose run is alive stays active. Ruled out: the history that the store forgets (the watch got no answer at all).

--- a/process/entry/manifest.go
+++ b/process/entry/manifest.go
@@ -20,10 +20,11 @@
 }
 
 const (
-	// manifestWait is how long one question for changes may take.
-	manifestWait = 25 * time.Second
-	// manifestPoll bounds the age of the configuration when a watch says
-	// nothing although something has changed.
+	// manifestWait is how long the store may wait for changes before it answers one
+	// question. A question over a connection that has gone silent is given up one
+	// call's time after that, and a change must be in force within 3 s.
+	manifestWait = 1500 * time.Millisecond
+	// manifestRetry is the pause after a question that failed.
 	manifestRetry = 200 * time.Millisecond
 )
 
--- a/process/lead/intake.go
+++ b/process/lead/intake.go
@@ -97,9 +97,10 @@
 
 // persist repeats a call of the store until it is answered, the patience is at its
 // end or ctx ends. What the call writes must bear a repetition. While the store is
-// known to be out of reach most calls are refused without an attempt.
+// known to be out of reach of this entry most calls are refused without an attempt.
+// In an outage for all entries the caller waits: no other entry could serve it.
 func (n *Node) persist(ctx context.Context, call func(context.Context) error) error {
-	if !n.reach.admit() {
+	if n.cutOff() && !n.reach.admit() {
 		n.cfg.Metrics.Add("store_calls_refused", 1)
 		return platform.ErrUnavailable
 	}
@@ -120,7 +121,7 @@
 		if lostAt.IsZero() && errors.Is(err, platform.ErrUncertain) {
 			lostAt = n.cfg.Clock.Now()
 		}
-		if n.cfg.Clock.Since(began) >= patienceHalves*n.cfg.Timing.Call/2 {
+		if n.cfg.Clock.Since(began) >= patienceHalves*n.cfg.Timing.Call/2 && n.cutOff() {
 			return err
 		}
 		n.cfg.Metrics.Add("store_retries", 1)
--- a/process/lead/outage.go
+++ b/process/lead/outage.go
@@ -49,6 +49,18 @@
 	return now-last >= probeInterval.Nanoseconds() && s.probedAt.CompareAndSwap(last, now)
 }
 
+// cutOff reports whether another entry may be served by the store although this
+// one is not: as far as is known, the outage is not one for all.
+func (n *Node) cutOff() bool {
+	if l := n.leading.Load(); l != nil {
+		// Another entry that the store serves begins the next term.
+		return len(l.followerConns()) == 0
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.watch.LeaderInTrouble()
+}
+
 // leaderlessTime is how long an entry goes on taking requests without a leader
 // that knows the jobs: a change of the leader is shorter.
 const leaderlessTime = 2 * time.Second
--- a/process/lead/outage_test.go
+++ b/process/lead/outage_test.go
@@ -12,6 +12,7 @@
 	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/process/pool"
+	"camphorhead.example/camphorhead/process/term"
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/outcome"
 )
@@ -120,3 +121,31 @@
 	n.noteService(clock.Now())
 	require.True(t, n.InService())
 }
+
+// Guards against requests that are refused in an outage for all entries, when
+// waiting is the best that can be done for them.
+func TestRequestsWaitInAnOutageForAll(t *testing.T) {
+	n, store, clock := newTestNode(t)
+	n.watch.Saw(clock.Now(), term.View{Record: term.Record{Term: 1, Holder: message.EntryInfo{ID: "leader"}}, Revision: 1})
+	require.True(t, n.cutOff())
+	n.watch.Heard(clock.Now(), 1, 1, true)
+	require.False(t, n.cutOff())
+	store.cut = true
+	n.reach.note(store.answer())
+	clock.Advance(testCall)
+	n.reach.probedAt.Store(clock.Now().UnixNano())
+	done := make(chan error, 1)
+	go func() {
+		_, _, err := n.Create(t.Context(), &job.Definition{ID: "j", Steps: []job.Step{{Count: 1}}})
+		done <- err
+	}()
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1), "the request waits for the next attempt")
+	store.cut = false
+	clock.Advance(minStorePause)
+	select {
+	case err := <-done:
+		require.NoError(t, err)
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the request was not recorded")
+	}
+}
--- a/process/schedule/ends.go
+++ b/process/schedule/ends.go
@@ -171,7 +171,9 @@
 	if limit > 0 && task.restored && len(t.unproven) > 0 {
 		// Agents that have not reported yet may hold the failures that use up the
 		// attempts; prove lets the task wait for a worker once they have.
-		task.phase, task.endedAt = taskUnknown, now
+		if task.phase == taskActive && task.run == nil {
+			task.phase, task.endedAt = taskUnknown, now
+		}
 		return
 	}
 	t.again(now, task)
--- a/process/schedule/world_test.go
+++ b/process/schedule/world_test.go
@@ -548,3 +548,17 @@
 	b.register()
 	only(t, b.starts())
 }
+
+// Guards against a second run beside an adopted one when an agent reports the
+// failure of an earlier run later.
+func TestOldFailureLeavesTheAdoptedRunAlone(t *testing.T) {
+	b := newBench(t, 2)
+	agents := map[string]time.Time{"a": b.now().Add(time.Minute), "b": b.now().Add(time.Minute), "c": b.now().Add(time.Minute)}
+	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checks, 1), Term: 1}}, agents)
+	b.report("a", message.Report{Session: 1, Full: true, Worker: workerInfo("a"), Running: []message.RunState{{Key: key("j", 0, 0, 2), PacePct: fullPace}}})
+	b.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b"), Ends: []message.RunEnd{ended(key("j", 0, 0, 1), job.EndFailed, 1)}})
+	b.report("c", message.Report{Session: 1, Full: true, Worker: workerInfo("c")})
+	b.register()
+	b.tick()
+	require.Empty(t, b.starts())
+}
--- a/process/term/watch.go
+++ b/process/term/watch.go
@@ -84,6 +84,10 @@
 // LeaderGone reports whether the leader in view is known to lead no more.
 func (w *Watch) LeaderGone() bool { return !w.goneAt.IsZero() }
 
+// LeaderInTrouble reports whether the leader in view was heard to say that the
+// store does not serve it either.
+func (w *Watch) LeaderInTrouble() bool { return !w.troubleAt.IsZero() }
+
 // Heard takes in a direct sign of life of a leader. trouble says that the
 // store does not serve it.
 func (w *Watch) Heard(now time.Time, term, beat uint64, trouble bool) {
