--- /dev/null
+++ b/process/schedule/restore_test.go
@@ -0,0 +1,147 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/request/job"
+)
+
+// Guards against a task that is tried more often than its profile allows, and
+// against a failure that is counted again when a new leader hears of it a
+// second time, in whatever order.
+func TestFailuresAreCountedOnceAcrossLeaders(t *testing.T) {
+	for _, order := range [][]uint32{{1, 2}, {2, 1}} {
+		b := newBench(t, 1)
+		b.join("a")
+		def := definition("j", checks, 1)
+		b.accept(def)
+		b.starts()
+		b.report("a", message.Report{Ends: []message.RunEnd{ended(key("j", 0, 0, 1), job.EndFailed, 1)}})
+		b.clock.Advance(maxAvoid)
+		b.report("a", message.Report{})
+		b.tick()
+		k, _ := only(t, b.starts())
+		require.Equal(t, uint32(2), k.Run)
+		records := b.table.TakeRecords(10) // one failure is durable, its end is not acknowledged
+		require.Len(t, records, 1)
+
+		next := newBench(t, 2)
+		next.clock = b.clock
+		next.table = newTable(b.clock, 2)
+		next.table.Restore(b.now(), []Restored{{Definition: def, Progress: &records[0].Progress, Term: 1}}, map[string]time.Time{"a": b.now().Add(time.Minute)})
+		var ends []message.RunEnd
+		for i, run := range order {
+			ends = append(ends, ended(key("j", 0, 0, run), job.EndFailed, uint64(i+1)))
+		}
+		next.report("a", message.Report{Session: 2, Full: true, Worker: workerInfo("a"), Ends: ends})
+		require.Equal(t, job.Accepted, next.state("j"), "two of three attempts have failed")
+		next.register()
+		next.clock.Advance(maxAvoid) // the only worker is one on which the task has failed
+		next.report("a", message.Report{Session: 2})
+		next.tick()
+		k, _ = only(t, next.starts())
+		next.report("a", message.Report{Session: 2, Ends: []message.RunEnd{ended(k, job.EndFailed, 3)}})
+		next.commit()
+		require.Equal(t, job.Failed, next.state("j"))
+	}
+}
+
+// Guards against tasks of the previous term that are started while an agent
+// that may have them has not been heard.
+func TestNewLeaderWaitsForAgentsOrTheirLeases(t *testing.T) {
+	b := newBench(t, 2)
+	def := definition("j", checks, 1)
+	dead := b.now().Add(testLease)
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, map[string]time.Time{"a": dead, "b": dead})
+	b.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b")})
+	b.register()
+	require.Empty(t, b.starts())
+	b.accept(definition("new", checks, 1))
+	k, _ := only(t, b.starts())
+	require.Equal(t, "new", k.Task.Job, "a job of this term needs no proof")
+
+	b.clock.Advance(testLease + time.Millisecond)
+	b.report("b", message.Report{})
+	b.tick()
+	k, _ = only(t, b.starts())
+	require.Equal(t, "j", k.Task.Job)
+	require.Greater(t, k.Run, uint32(runsPerTerm), "run numbers of the previous term must not come again")
+}
+
+// Guards against a second run of a task that the previous leader started and
+// whose agent says so.
+func TestNewLeaderAdoptsRuns(t *testing.T) {
+	b := newBench(t, 2)
+	def := definition("j", checks, 1)
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, map[string]time.Time{"a": b.now().Add(testLease)})
+	k := key("j", 0, 0, 1)
+	b.report("a", message.Report{Session: 1, Full: true, Worker: workerInfo("a"), Running: []message.RunState{{Key: k, PacePct: 100}}})
+	b.register()
+	orders := b.orders("a")
+	require.Empty(t, orders.Starts)
+	require.Len(t, orders.Adopted, 1)
+	require.Equal(t, k, orders.Adopted[0].Key)
+	b.report("a", message.Report{Session: 1, Ends: []message.RunEnd{ended(k, job.EndDone, 1)}})
+	b.commit()
+	require.Equal(t, job.Done, b.state("j"))
+}
+
+// Guards against one start too many when a new leader hears of the failures of
+// earlier runs one after the other.
+func TestAttemptsWaitForAllReports(t *testing.T) {
+	b := newBench(t, 2)
+	agents := map[string]time.Time{}
+	for _, agent := range []string{"a", "b", "c"} {
+		agents[agent] = b.now().Add(time.Minute)
+	}
+	def := definition("j", checks, 1)
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, agents)
+	full := func(agent string, r message.Report) {
+		r.Session, r.Full, r.Worker = 1, true, workerInfo(agent)
+		b.report(agent, r)
+		b.register()
+	}
+	full("d", message.Report{}) // has room all the time
+	full("a", message.Report{Running: []message.RunState{{Key: key("j", 0, 0, 3), PacePct: fullPace}}})
+	b.report("a", message.Report{Ends: []message.RunEnd{ended(key("j", 0, 0, 3), job.EndFailed, 1)}})
+	full("b", message.Report{Ends: []message.RunEnd{ended(key("j", 0, 0, 2), job.EndFailed, 1)}})
+	require.Empty(t, b.starts(), "the third failure is not known yet")
+	full("c", message.Report{Ends: []message.RunEnd{ended(key("j", 0, 0, 1), job.EndFailed, 1)}})
+	b.tick()
+	require.Empty(t, b.starts())
+	b.commit()
+	require.Equal(t, job.Failed, b.state("j"))
+}
+
+// Guards against a restored task that never runs again after its adopted run has
+// failed within its attempts.
+func TestAdoptedFailureIsTriedAgain(t *testing.T) {
+	b := newBench(t, 2)
+	def := definition("j", checks, 1)
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, map[string]time.Time{"a": b.now().Add(time.Minute), "b": b.now().Add(time.Minute)})
+	b.report("a", message.Report{Session: 1, Full: true, Worker: workerInfo("a"), Running: []message.RunState{{Key: key("j", 0, 0, 1), PacePct: fullPace}}})
+	b.report("a", message.Report{Ends: []message.RunEnd{ended(key("j", 0, 0, 1), job.EndFailed, 1)}})
+	b.register()
+	require.Empty(t, b.starts())
+	b.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b")})
+	b.register()
+	only(t, b.starts())
+}
+
+// Guards against a second run beside an adopted one when an agent reports the
+// failure of an earlier run later.
+func TestOldFailureLeavesTheAdoptedRunAlone(t *testing.T) {
+	b := newBench(t, 2)
+	agents := map[string]time.Time{"a": b.now().Add(time.Minute), "b": b.now().Add(time.Minute), "c": b.now().Add(time.Minute)}
+	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checks, 1), Term: 1}}, agents)
+	b.report("a", message.Report{Session: 1, Full: true, Worker: workerInfo("a"), Running: []message.RunState{{Key: key("j", 0, 0, 2), PacePct: fullPace}}})
+	b.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b"), Ends: []message.RunEnd{ended(key("j", 0, 0, 1), job.EndFailed, 1)}})
+	b.report("c", message.Report{Session: 1, Full: true, Worker: workerInfo("c")})
+	b.register()
+	b.tick()
+	require.Empty(t, b.starts())
+}
