process/schedule, process/lead: refuse jobs that a newer term has accepted

A leader that is cut off from the other entries may still read the store and grant leases until its next transaction shows that its term is over. A job recorded under the newer term and found in the inbox was entered with the base number 0 of the new term, so both leaders ordered run 1 of it, at agents of their own. Ruled out: records of the same or an older term; those wait for the agents' reports. Change: the table refuses a job of a newer term, and the leader steps down on it. Result: TestJobOfANewerTermIsNotStarted fails without the change and passes with it.

--- a/process/lead/inbox.go
+++ b/process/lead/inbox.go
@@ -59,8 +59,13 @@
 	return in, nil
 }
 
-// accept enters a recorded job. source says who told of it.
+// accept enters a recorded job. source says who told of it. A job that was
+// accepted in a newer term shows that this one is over.
 func (l *leading) accept(s *jobstore.Stored, source string) {
+	if s.Term > l.number {
+		l.node.stepDown(l, "a job was accepted in a newer term")
+		return
+	}
 	newer := l.writer.NoteJob(s.Definition.ID, s.Revision)
 	if l.table.Accept(l.node.cfg.Clock.Now(), s.Definition, s.Term, newer) {
 		l.node.cfg.Log.Emit(event.JobQueued, "job", s.Definition.ID, "profile", s.Definition.Profile,
--- a/process/schedule/jobs.go
+++ b/process/schedule/jobs.go
@@ -62,10 +62,14 @@
 
 // Accept enters a job that is durable. A repetition changes nothing; it
 // reports whether the job is new. again says that the record is newer than what
-// is known: one that ended without having run is begun anew.
+// is known: one that ended without having run is begun anew. A job that was
+// accepted in a newer term is refused: the leader of that term starts it.
 func (t *Table) Accept(now time.Time, def *job.Definition, term uint64, again bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if term > t.cfg.Term {
+		return false
+	}
 	if j, known := t.jobs[def.ID]; known {
 		if !again || !j.state.Terminal() {
 			t.publishAgain(j)
--- a/process/schedule/restore_test.go
+++ b/process/schedule/restore_test.go
@@ -145,3 +145,13 @@
 	b.tick()
 	require.Empty(t, b.starts())
 }
+
+// Guards against two runs under one number: the leader of a replaced term, which
+// may not know yet that it was replaced, reads a job from the store that was
+// accepted in the newer term and that the newer leader starts as well.
+func TestJobOfANewerTermIsNotStarted(t *testing.T) {
+	b := newBench(t, 1)
+	b.join("a")
+	require.False(t, b.table.Accept(b.now(), definition("j", checks, 1), 2, false))
+	require.Empty(t, b.starts())
+}
