--- a/cmd/camphorhead/roles.go
+++ b/cmd/camphorhead/roles.go
@@ -48,7 +48,7 @@
 		Store: adapter.NewStore(addressOf(cfg.Store.URL)),
 	}
 	if cfg.Store.Configuration == settings.ConfigurationDocument {
-		deps.Manifest = entry.ManifestSource{
+		deps.Document = entry.DocumentSource{
 			Key: adapter.ManifestKey, Prefix: adapter.ManifestPrefix, Decode: adapter.DecodeManifest,
 		}
 	}
--- a/integration/link_test.go
+++ b/integration/link_test.go
@@ -121,6 +121,9 @@
 
 func (l *link) add(t *testing.T, kind, stream, attributes string) {
 	t.Helper()
+	if l.proxy.Toxics.GetToxic(kind+"-"+stream) != nil {
+		return // another fault has it in force
+	}
 	toxic := fmt.Sprintf(`{"name":"%s-%s","type":"%s","stream":"%s","attributes":%s}`, kind, stream, kind, stream, attributes)
 	_, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(toxic))
 	require.NoError(t, err)
--- a/integration/pairs_test.go
+++ b/integration/pairs_test.go
@@ -59,9 +59,15 @@
 	return time.Duration(rng.Int64N(int64(limit)))
 }
 
-func (d *deployment) crash(c *core) func() {
-	c.kill(d.t)
-	return func() { d.startCore(c) }
+func (d *deployment) crash(cores ...*core) func() {
+	for _, c := range cores {
+		c.kill(d.t)
+	}
+	return func() {
+		for _, c := range cores {
+			d.revive(c)
+		}
+	}
 }
 
 func (d *deployment) freezeCore(c *core) func() {
@@ -139,15 +145,15 @@
 			for _, f := range pair {
 				t.Logf("seed %d: %s from %s to %s", seed, f.name, f.at, f.until)
 			}
-			deploy(t).runPair(pair, rng)
+			deploy(t).runFaults(pair, rng)
 		})
 	}
 }
 
-func (d *deployment) runPair(pair []scheduledFault, rng *rand.Rand) {
+func (d *deployment) runFaults(faults []scheduledFault, rng *rand.Rand) {
 	l := d.startLoad(0, 1)
 	jobs := d.startSubmitter(rand.New(rand.NewPCG(rng.Uint64(), 0)))
-	d.inject(pair, rng)
+	d.inject(faults, rng)
 	submitted := jobs()
 	for entry := range d.entries {
 		d.awaitChecks(entry, 20, settleBound)
@@ -162,15 +168,15 @@
 }
 
 // inject follows the schedule: each begin and end waits for its time.
-func (d *deployment) inject(pair []scheduledFault, rng *rand.Rand) {
+func (d *deployment) inject(faults []scheduledFault, rng *rand.Rand) {
 	type step struct {
 		at  time.Duration
 		run func()
 	}
 	began := time.Now()
-	pending := make([]step, 0, 2*len(pair))
-	for i := range pair {
-		f := pair[i]
+	pending := make([]step, 0, 2*len(faults))
+	for i := range faults {
+		f := faults[i]
 		var end func()
 		pending = append(pending, step{f.at, func() { end = f.begin(d, rng) }}, step{f.until, func() { end() }})
 	}
--- a/process/entry/manifest.go
+++ b/process/entry/document.go
@@ -10,9 +10,9 @@
 	"camphorhead.example/camphorhead/version/profile"
 )
 
-// ManifestSource is a configuration that operators write to the store
+// DocumentSource is a configuration that operators write to the store
 // themselves, as one document.
-type ManifestSource struct {
+type DocumentSource struct {
 	Key string
 	// Prefix covers the key and everything else that operators write.
 	Prefix string
@@ -20,63 +20,63 @@
 }
 
 const (
-	// manifestWait is how long the store may wait for changes before it answers one
+	// documentWait is how long the store may wait for changes before it answers one
 	// question. A question over a connection that has gone silent is given up one
 	// call's time after that, and a change must be in force within 3 s.
-	manifestWait = 1500 * time.Millisecond
-	// manifestRetry is the pause after a question that failed.
-	manifestRetry = 200 * time.Millisecond
+	documentWait = 1500 * time.Millisecond
+	// documentRetry is the pause after a question that failed.
+	documentRetry = 200 * time.Millisecond
 )
 
-// followManifest puts each version of the operators' document in force until
+// followDocument puts each version of the operators' document in force until
 // the process ends.
-func (e *Entry) followManifest(source ManifestSource) {
+func (e *Entry) followDocument(source DocumentSource) {
 	defer close(e.watchDone)
 	var after uint64
 	for e.run.Err() == nil {
-		revision, err := e.readManifest(source)
+		revision, err := e.readDocument(source)
 		if err != nil {
-			e.pause(manifestRetry)
+			e.pause(documentRetry)
 			continue
 		}
 		after = max(after, revision)
-		if after, err = e.watchManifest(source, after); err != nil {
-			e.pause(manifestRetry)
+		if after, err = e.watchDocument(source, after); err != nil {
+			e.pause(documentRetry)
 		}
 	}
 }
 
-// readManifest reads the present document and returns its revision.
-func (e *Entry) readManifest(source ManifestSource) (uint64, error) {
+// readDocument reads the present document and returns its revision.
+func (e *Entry) readDocument(source DocumentSource) (uint64, error) {
 	ctx, cancel := e.callContext(e.run)
 	defer cancel()
 	kv, err := e.store.Read(ctx, source.Key)
-	e.noteManifestStore(err)
+	e.noteDocumentStore(err)
 	if err != nil {
 		return 0, err
 	}
 	if kv.Revision != 0 {
-		e.putManifestInForce(source, kv.Value)
+		e.putDocumentInForce(source, kv.Value)
 	}
 	return kv.Revision, nil
 }
 
-// watchManifest waits for changes until a question fails.
-func (e *Entry) watchManifest(source ManifestSource, after uint64) (uint64, error) {
+// watchDocument waits for changes until a question fails.
+func (e *Entry) watchDocument(source DocumentSource, after uint64) (uint64, error) {
 	for e.run.Err() == nil {
-		ctx, cancel := context.WithTimeout(e.run, manifestWait+e.cfg.Limits.CallTimeout())
-		changes, next, err := e.store.Changes(ctx, source.Prefix, after, manifestWait)
+		ctx, cancel := context.WithTimeout(e.run, documentWait+e.cfg.Limits.CallTimeout())
+		changes, next, err := e.store.Changes(ctx, source.Prefix, after, documentWait)
 		cancel()
 		if errors.Is(err, platform.ErrCompacted) {
 			return 0, err // read the document and go on from it
 		}
-		e.noteManifestStore(err)
+		e.noteDocumentStore(err)
 		if err != nil {
 			return after, err
 		}
 		for _, c := range changes {
 			if c.Key == source.Key && !c.Deleted {
-				e.putManifestInForce(source, c.Value)
+				e.putDocumentInForce(source, c.Value)
 			}
 		}
 		after = next
@@ -84,17 +84,17 @@
 	return after, nil
 }
 
-func (e *Entry) noteManifestStore(err error) {
+func (e *Entry) noteDocumentStore(err error) {
 	if err == nil {
 		e.config.Confirm()
 	}
 	e.noteStore("read configuration", err)
 }
 
-func (e *Entry) putManifestInForce(source ManifestSource, value []byte) {
+func (e *Entry) putDocumentInForce(source DocumentSource, value []byte) {
 	doc, err := source.Decode(value)
 	if err != nil {
-		e.log.Emit(event.ManifestRefused, "subject", source.Key, "error", err)
+		e.log.Emit(event.DocumentRefused, "subject", source.Key, "error", err)
 		return
 	}
 	before := e.ConfigVersion()
--- a/process/entry/manifest_test.go
+++ b/process/entry/document_test.go
@@ -51,7 +51,7 @@
 	clock := clockwork.NewRealClock()
 	e := &Entry{store: store, clock: clock, config: holder.New(clock), run: run, watchDone: make(chan struct{})}
 	e.cfg.Limits = settings.Limits{CallTimeoutMs: 700}
-	go e.followManifest(ManifestSource{Key: "k", Prefix: "k", Decode: decodeVersion})
+	go e.followDocument(DocumentSource{Key: "k", Prefix: "k", Decode: decodeVersion})
 	require.Eventually(t, func() bool { return e.ConfigVersion() == 1 }, applyBound, 5*time.Millisecond)
 	store.version.Store(2)
 	require.Eventually(t, func() bool { return e.ConfigVersion() == 2 }, applyBound, 5*time.Millisecond)
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -56,9 +56,9 @@
 	Advisor platform.Advisor
 	// Delays are the one-way delays that routing assumes.
 	Delays routing.Settings
-	// Manifest is the configuration, where operators write it to the store
+	// Document is the configuration, where operators write it to the store
 	// themselves; its zero value means the log of changes.
-	Manifest ManifestSource
+	Document DocumentSource
 	// Front serves the callers of the settings' jobs table; nil: there are none.
 	Front func(*Entry) fasthttp.RequestHandler
 }
@@ -152,8 +152,8 @@
 		return err
 	}
 	e.serving.Store(true)
-	if e.deps.Manifest.Key != "" {
-		go e.followManifest(e.deps.Manifest)
+	if e.deps.Document.Key != "" {
+		go e.followDocument(e.deps.Document)
 	} else {
 		go e.watchConfig()
 	}
--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -53,7 +53,7 @@
 // Operators' documents come from the store alone, so that each process follows
 // the same source.
 func (e *Entry) behind() func(ctx context.Context, address string) {
-	if e.deps.Manifest.Key != "" {
+	if e.deps.Document.Key != "" {
 		return nil
 	}
 	return e.pullConfig
--- a/process/event/catalogue.go
+++ b/process/event/catalogue.go
@@ -65,7 +65,7 @@
 var configurationEvents = []Definition{
 	{ConfigurationInForce, "configuration_in_force", Info, "configuration is in force", fields("version previous_version source elapsed_ms"), none},
 	{ConfigurationConflict, "configuration_conflict", Info, "change is refused, it is based on an older version", fields("kind subject based_on_version version operator"), "Base the change on the current version and send it again."},
-	{ManifestRefused, "manifest_refused", Error, "configuration in the store cannot be read and is ignored", fields("subject error"), "Correct what the operator wrote; the version before stays in force."},
+	{DocumentRefused, "document_refused", Error, "configuration in the store cannot be read and is ignored", fields("subject error"), "Correct what the operator wrote; the version before stays in force."},
 }
 
 var recordEvents = []Definition{
@@ -98,7 +98,7 @@
 	{WorkerReadmitted, "worker_readmitted", Info, "worker gets tasks again", fields("worker agent outage_ms"), none},
 	{TasksStoppedForLease, "tasks_stopped_for_lease", Error, "tasks are stopped at the end of their lease", fields("agent session tasks"), "Check the network and the store. The tasks resume from their checkpoints."},
 	{TaskStarted, "task_started", Debug, "worker runs a task", fields("job incarnation agent profile task run elapsed_ms"), none},
-	{RunPlaced, "run_placed", Info, "run of a task is ordered at an agent", fields("task run agent milli_cpu image wait_ms age_ms workers"), none},
+	{RunPlaced, "run_placed", Info, "run of a task is ordered at an agent", fields("task run agent milli_cpu image wait_ms age_ms workers harm_percent"), none},
 	{RunEnded, "run_ended", Info, "run of a task has ended", fields("task run agent state void cause"), none},
 	{RunRefused, "run_refused", Info, "run of a task was refused and has not started", fields("task run agent reason"), "If one worker repeats it, compare its reported capacity with what runs there."},
 	{TaskRunEnded, "task_run_ended", Info, "worker lists the end of a run", fields("task run state void cause"), none},
--- a/process/event/field.go
+++ b/process/event/field.go
@@ -37,6 +37,7 @@
 	"pending_calls":    "count",
 	"previous_version": "version",
 	"percent":          "%",
+	"harm_percent":     "%",
 	"profile":          "id",
 	"ran":              "no, maybe, yes",
 	"reason":           "text",
--- a/process/event/id.go
+++ b/process/event/id.go
@@ -51,7 +51,7 @@
 	ConfigurationConflict
 	_
 	_
-	ManifestRefused
+	DocumentRefused
 )
 
 // Records and jobs: 5000 to 5999.
--- a/process/schedule/gang.go
+++ b/process/schedule/gang.go
@@ -80,7 +80,7 @@
 			continue
 		}
 		task.checkpoint = checkpoint
-		t.assignRun(now, task, v.agents[at[n]], number)
+		t.assignRun(now, task, v.agents[at[n]], number, 0)
 		n++
 	}
 }
--- a/process/schedule/place.go
+++ b/process/schedule/place.go
@@ -163,7 +163,11 @@
 	switch r := j.def.Request; {
 	case at >= 0:
 		v.take(j, at, ask.Charge)
-		t.assign(v.now, task, v.agents[at])
+		harm := 0.0
+		if ask.Harm != nil {
+			harm = ask.Harm(at)
+		}
+		t.assign(v.now, task, v.agents[at], harm)
 	case r != nil && r.Urgent:
 		t.preempt(v, task)
 	case grant == quota.Own:
@@ -318,12 +322,13 @@
 	return ""
 }
 
-// assign orders the next run of a task at an agent.
-func (t *Table) assign(now time.Time, task *taskState, a *agentState) {
-	t.assignRun(now, task, a, max(task.lastRun, task.step.job().baseRun)+1)
+// assign orders the next run of a task at an agent. harm is the number of serving
+// tasks that it is expected to bring over their target.
+func (t *Table) assign(now time.Time, task *taskState, a *agentState, harm float64) {
+	t.assignRun(now, task, a, max(task.lastRun, task.step.job().baseRun)+1, harm)
 }
 
-func (t *Table) assignRun(now time.Time, task *taskState, a *agentState, number uint32) {
+func (t *Table) assignRun(now time.Time, task *taskState, a *agentState, number uint32, harm float64) {
 	task.step.pending--
 	run := t.activate(now, task, a, number)
 	run.ticket, _ = task.step.ticketAt(now, a)
@@ -336,5 +341,5 @@
 	t.cfg.Meter.Observe("queue_wait", now.Sub(task.step.readyAt))
 	t.cfg.Log.Emit(event.RunPlaced, "task", task.id().String(), "run", number, "agent", a.id,
 		"milli_cpu", task.step.def.Need.MilliCPU, "image", task.step.def.Image, "wait_ms", now.Sub(task.step.readyAt).Milliseconds(), "age_ms", now.Sub(a.reported).Milliseconds(),
-		"workers", len(t.agents))
+		"workers", len(t.agents), "harm_percent", int(100*harm))
 }
--- a/process/schedule/urgent.go
+++ b/process/schedule/urgent.go
@@ -40,7 +40,7 @@
 	if !fits {
 		return false
 	}
-	t.assign(now, task, a)
+	t.assign(now, task, a, 0)
 	return true
 }
 
