process/schedule, process/runs: void ends that nobody recorded before their lease ran out

Change: pending ends are void once the lease has run out; runs of earlier terms are void for a leader that waited for their leases; an end is superseded by a later run.

--- a/process/runs/runs_test.go
+++ b/process/runs/runs_test.go
@@ -210,6 +210,23 @@
 	require.Equal(t, job.EndLapsed, report.Ends[1].How)
 }
 
+// Guards against an end that counts although the lease ran out before any leader
+// had recorded it, while its task may have been started elsewhere.
+func TestUnrecordedEndsAreVoidAfterALapse(t *testing.T) {
+	r := newRig(t)
+	k := runKey("j", 1)
+	r.order(r.node, k)
+	r.eventually("the run is confirmed", func() bool { return r.node.confirmed(k) })
+	r.worker.finish(k, job.EndDone)
+	r.look(r.node)
+	require.False(t, full(r.node).Ends[0].Void)
+	r.clock.Advance(testGrant + time.Second) // no leader is heard
+	r.look(r.node)
+	report := full(r.node)
+	require.Len(t, report.Ends, 1)
+	require.True(t, report.Ends[0].Void)
+}
+
 // Guards against a stop that is forgotten when the worker does not answer, and
 // against a run that starts after it was stopped.
 func TestStopsAreRepeatedAndHold(t *testing.T) {
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -201,12 +201,26 @@
 		n.lifeMs, n.lastRecorded, n.clock = list.BornMs, 0, workerClock{}
 		n.changed = true
 	} else if n.clock.lifeMs == list.BornMs && !held.IsZero() {
-		lapsed = sent.After(held) && len(n.runs) > 0
+		lapsed = sent.After(held) && len(n.runs)+len(n.ends) > 0
+	}
+	if lapsed {
+		n.voidEnds()
 	}
 	n.noteClock(list.BornMs, list.ClockMs, now)
 	return lapsed
 }
 
+// voidEnds marks the ends that no leader has recorded before the lease ran out:
+// a leader that waited for that may have had their tasks started elsewhere. The
+// caller holds mu.
+func (n *Node) voidEnds() {
+	for _, e := range n.ends {
+		if !e.recorded && e.lifeMs == n.lifeMs && e.How != job.EndLapsed {
+			e.Void = true
+		}
+	}
+}
+
 // noteRunning takes in a run that the worker lists. It reports true for one
 // that this process does not know. The caller holds mu.
 func (n *Node) noteRunning(now time.Time, t *platform.RunningTask) (strange bool) {
--- a/process/schedule/ends.go
+++ b/process/schedule/ends.go
@@ -43,7 +43,7 @@
 	if e.Void {
 		how = job.EndLapsed
 	}
-	if run == nil && (e.Key.Run <= task.lapsedRun || how != job.EndDone && how != job.EndFailed) {
+	if run == nil && (e.Key.Run <= task.lapsedRun || task.followed(e.Key.Run) || how != job.EndDone && how != job.EndFailed) {
 		t.logEnd(a, e, "superseded")
 		return
 	}
@@ -83,6 +83,12 @@
 	}
 }
 
+// followed reports whether a later run of the task is active. It was ordered after
+// an earlier leader had certainty that this one is dead.
+func (t *taskState) followed(number uint32) bool {
+	return t.run != nil && t.run.number > number && !t.step.def.Speculative
+}
+
 // causeOf says why a run ended before its task did.
 func causeOf(run *runState, e *message.RunEnd) job.EvictionCause {
 	switch {
--- a/process/schedule/proof.go
+++ b/process/schedule/proof.go
@@ -11,6 +11,7 @@
 	for agent, until := range t.unproven {
 		if now.After(until) {
 			delete(t.unproven, agent)
+			t.expired = true
 		}
 	}
 	if len(t.unproven) > 0 {
@@ -19,6 +20,10 @@
 	for _, s := range t.restored {
 		for i := range s.tasks {
 			if task := &s.tasks[i]; task.phase == taskUnknown {
+				if t.expired {
+					// What the agent says later of runs whose leases have ended is void.
+					task.lapsedRun = max(task.lapsedRun, s.job().baseRun)
+				}
 				task.phase = taskWaiting
 				s.pending++
 			}
--- a/process/schedule/restore_test.go
+++ b/process/schedule/restore_test.go
@@ -155,3 +155,38 @@
 	require.False(t, b.table.Accept(b.now(), definition("j", checks, 1), 2, false))
 	require.Empty(t, b.starts())
 }
+
+// Guards against a task that counts as done by a run whose lease has ended, beside
+// a second run of it: the agent of the first one was silent while its end was not
+// recorded, so that another run was ordered, by this leader or by an earlier one.
+func TestEndAfterTheLeaseIsVoid(t *testing.T) {
+	done := func(b *bench, sequence uint64) {
+		b.report("a", message.Report{
+			Session: 2, Full: true, Worker: workerInfo("a"),
+			Ends: []message.RunEnd{ended(key("j", 0, 0, 1), job.EndDone, sequence)},
+		})
+	}
+	lateAgent := newBench(t, 2)
+	until := lateAgent.now().Add(testLease)
+	lateAgent.table.Restore(lateAgent.now(), []Restored{{Definition: definition("j", checks, 1), Term: 1}}, map[string]time.Time{"a": until})
+	lateAgent.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b")})
+	lateAgent.register()
+	lateAgent.clock.Advance(testLease + time.Second)
+	lateAgent.report("b", message.Report{Session: 1})
+	lateAgent.tick()
+	second, _ := only(t, lateAgent.starts())
+	done(lateAgent, 1)
+	require.Empty(t, lateAgent.orders("b").Stops)
+	lateAgent.report("b", message.Report{Ends: []message.RunEnd{ended(second, job.EndDone, 1)}})
+	lateAgent.commit()
+	require.Equal(t, job.Done, lateAgent.state("j"))
+
+	adopted := newBench(t, 3)
+	until = adopted.now().Add(testLease)
+	adopted.table.Restore(adopted.now(), []Restored{{Definition: definition("j", checks, 1), Term: 1}}, map[string]time.Time{"a": until, "b": until})
+	adopted.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b"), Running: []message.RunState{{Key: key("j", 0, 0, 2), PacePct: fullPace}}})
+	done(adopted, 1)
+	adopted.commit()
+	require.NotEqual(t, job.Done, adopted.state("j"))
+	require.Empty(t, adopted.orders("b").Stops)
+}
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -87,6 +87,8 @@
 	// unproven are agents of the previous term that may still have runs, with
 	// the time by which their leases have ended.
 	unproven map[string]time.Time
+	// expired is set when one of them was not heard before its leases had ended.
+	expired bool
 	// restored are steps of the previous term whose unfinished tasks may have
 	// runs at unproven agents.
 	restored []*stepState
