--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -9,9 +9,13 @@
 	"time"
 )
 
-// soakSeeds are run always. The first ones are there for their number of faults;
-// a seed that has failed joins them, with a line on the cause.
-var soakSeeds = []uint64{1, 2, 3}
+// soakSeeds are run always. A seed that has failed joins them, with its cause:
+//
+//   - 2004, 2046: an agent was silent until its lease was over, and its report of
+//     an end from before counted beside the run that had followed;
+//   - 2019: the same, after the end of the leader that had ordered the second run;
+//   - 2024: a host was not used again in time; not found, see KNOWN-RED.txt.
+var soakSeeds = []uint64{1, 2, 3, 2004, 2019, 2024, 2046}
 
 var (
 	firstSoak = flag.Uint64("soak-first", 1000, "first of the further seeds of the soak")
--- a/process/fleet/health.go
+++ b/process/fleet/health.go
@@ -22,14 +22,16 @@
 	Forgive time.Duration
 }
 
-// DefaultHealthSettings returns the settings used in service.
+// DefaultHealthSettings returns the settings used in service. A target that has
+// recovered is tried again within MaxEjection and ProbeTimeout together, however
+// long it was away.
 func DefaultHealthSettings() HealthSettings {
 	return HealthSettings{
 		EjectAfter:        3,
 		FirstEjection:     5 * time.Second,
-		MaxEjection:       5 * time.Minute,
+		MaxEjection:       10 * time.Second,
 		MaxEjectedPercent: 30,
-		ProbeTimeout:      10 * time.Second,
+		ProbeTimeout:      5 * time.Second,
 		Forgive:           5 * time.Minute,
 	}
 }
