process/agent: let the service time of an idle target fall back

The trace shows an agent that attaches, reports and runs jobs after its freeze, and entries that send it no check any more. The checks that were in progress during the freeze raised the smoothed service time of its target to seconds; routing turned to others and admission refused, and only an answered check could have lowered the estimate. Ruled out: ejection (no such event), a lost agent (its summary was applied anew), the announcement of the target (none lost). Change: without answers an estimate halves each second; a summary is sent again when the service time has changed.

--- a/process/agent/service.go
+++ b/process/agent/service.go
@@ -18,12 +18,8 @@
 const (
 	// franchiseeShare bounds one franchisee's part of a queue.
 	franchiseeShare = 2
-	// initialServiceTime is the estimate before the first answer of a target.
-	initialServiceTime = 5 * time.Millisecond
 	// backlogMargin multiplies the expected time of a check behind a backlog.
 	backlogMargin = 2
-	// smoothing is the inverse weight of one sample in the service time.
-	smoothing = 16
 )
 
 // Target is a back end as it announces itself.
@@ -43,9 +39,8 @@
 	http   *fasthttp.HostClient
 	wg     sync.WaitGroup
 
-	busy          atomic.Int64
-	answered      atomic.Bool // the service time is measured, not the initial one
-	serviceTimeUs atomic.Int64
+	busy     atomic.Int64
+	estimate serviceTime
 	// windowUs and windowCount collect samples for the control loop. They are
 	// read one after the other, which puts a sample into the next window at worst.
 	windowUs    atomic.Int64
@@ -61,7 +56,6 @@
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		},
 	}
-	s.serviceTimeUs.Store(initialServiceTime.Microseconds())
 	return s
 }
 
@@ -110,7 +104,7 @@
 	}
 	displaced, err := s.queue.Push(queue.Item[*pendingCheck]{
 		ID: check.Request, Team: check.Team, Franchisee: check.Franchisee, Weight: check.Weight,
-		Cost: s.serviceTimeUs.Load(), Deadline: deadline, Value: p,
+		Cost: s.serviceTime().Microseconds(), Deadline: deadline, Value: p,
 	})
 	if displaced != nil {
 		s.checks.fail(displaced.Value, outcome.New(outcome.QueueFull, "displaced by a franchisee with a shorter queue"))
@@ -143,7 +137,7 @@
 		s.checks.fail(p, err)
 		return
 	}
-	s.sample(took)
+	s.estimate.sample(s.checks.agent.clock.Now(), took)
 	s.checks.agent.metrics.Add("checks_served", 1)
 	s.checks.agent.log.Emit(event.CheckServed, "request", p.check.Request, "agent", s.checks.agent.cfg.Process.ID,
 		"franchisee", p.check.Franchisee, "service", p.check.Service, "elapsed_ms", took.Milliseconds())
@@ -185,14 +179,9 @@
 	return &outcome.Error{Kind: outcome.ConnectionLost, Message: err.Error()}
 }
 
-func (s *service) sample(took time.Duration) {
-	s.answered.Store(true)
-	old := s.serviceTimeUs.Load()
-	s.serviceTimeUs.Store(old + (took.Microseconds()-old)/smoothing)
-}
-
 func (s *service) serviceTime() time.Duration {
-	return time.Duration(s.serviceTimeUs.Load()) * time.Microsecond
+	estimate, _ := s.estimate.value(s.checks.agent.clock.Now())
+	return estimate
 }
 
 // takeWindow returns the samples since the previous call.
@@ -206,8 +195,8 @@
 		Service: s.target.Service, Slots: s.target.Slots, Busy: int(s.busy.Load()),
 		Queued: s.queue.Len(),
 	}
-	if s.answered.Load() {
-		load.ServiceTimeUs = s.serviceTimeUs.Load()
+	if estimate, measured := s.estimate.value(s.checks.agent.clock.Now()); measured {
+		load.ServiceTimeUs = estimate.Microseconds()
 	}
 	return load
 }
--- a/process/runs/link.go
+++ b/process/runs/link.go
@@ -294,15 +294,16 @@
 }
 
 // sameSummary reports whether two summaries say the same of a worker and its
-// targets. amounts says that what is free, what runs and what the targets hold
-// counts too; the use of slots also travels with the replies of checks.
+// targets. amounts says that what is free, what runs, what the targets hold and
+// how long they take counts too; the latter also travel with the replies of checks.
 func sameSummary(a, b *message.Summary, amounts bool) bool {
 	if len(a.Services) != len(b.Services) {
 		return false
 	}
 	for i := range a.Services {
 		x, y := &a.Services[i], &b.Services[i]
-		if x.Service != y.Service || x.Slots != y.Slots || (amounts && (x.Busy != y.Busy || x.Queued != y.Queued)) {
+		if x.Service != y.Service || x.Slots != y.Slots ||
+			amounts && (x.Busy != y.Busy || x.Queued != y.Queued || x.ServiceTimeUs != y.ServiceTimeUs) {
 			return false
 		}
 	}
