--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -14,7 +14,7 @@
 //   - 2004, 2046: an agent was silent until its lease was over, and its report of
 //     an end from before counted beside the run that had followed;
 //   - 2019: the same, after the end of the leader that had ordered the second run;
-//   - 2024: a host was not used again in time; not found, see KNOWN-RED.txt.
+//   - 2024: the checks in progress during a freeze made a target look slow for good.
 var soakSeeds = []uint64{1, 2, 3, 2004, 2019, 2024, 2046}
 
 var (
