standin/ports: do not listen on a port to see whether it is free

A child process inherits every open listener between its fork and its exec, so a port on which the parent has just listened to probe it stays taken for a moment while processes start. Ruled out: another test program (the block was held), a leftover process (none). Conclusion: the allocator asks with a connection, which leaves no listener behind.

--- a/standin/ports/ports.go
+++ b/standin/ports/ports.go
@@ -43,8 +43,8 @@
 		for len(a.left) > 0 {
 			address := loopback(a.left[0])
 			a.left = a.left[1:]
-			if l, err := net.Listen("tcp", address); err == nil {
-				return address, l.Close()
+			if !listening(address) {
+				return address, nil
 			}
 		}
 		if err := a.claim(); err != nil {
@@ -83,4 +83,16 @@
 	return group.Err()
 }
 
+// listening reports whether a program that does not use this package listens on an
+// address. It does not try to listen there itself: a child that is being started
+// holds a copy of every listener until it runs its own program.
+func listening(address string) bool {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
