--- a/bench/cluster/starts_test.go
+++ b/bench/cluster/starts_test.go
@@ -12,16 +12,17 @@
 	"github.com/stretchr/testify/require"
 
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/resources"
 	"camphorhead.example/camphorhead/version/profile"
 	"camphorhead.example/standin/worker"
 )
 
-// count returns the sum of a counter over all entries.
-func (c *Cluster) count(name string) (sum int64) {
+// ended returns the number of jobs with a durable end in a state, over all entries.
+func (c *Cluster) ended(state job.State) (sum int64) {
 	for _, e := range c.Entries {
-		sum += e.Entry.Metrics().Value(name)
+		sum += e.Entry.Metrics().ValueFor(metrics.JobsEnded, string(state))
 	}
 	return sum
 }
@@ -60,13 +61,13 @@
 	}
 	wg.Wait()
 	for range 30 {
-		t.Log(time.Since(began), proofs.Load(), c.count("jobs_done"), c.count("jobs_failed"), c.count("jobs_accepted"))
+		t.Log(time.Since(began), proofs.Load(), c.ended(job.Done), c.ended(job.Failed))
 		time.Sleep(500 * time.Millisecond)
 	}
 	require.Eventually(t, func() bool {
-		return c.count("jobs_done")+c.count("jobs_failed") == proofs.Load()
+		return c.ended(job.Done)+c.ended(job.Failed) == proofs.Load()
 	}, 40*time.Second, 50*time.Millisecond)
-	require.Zero(t, c.count("jobs_failed"))
+	require.Zero(t, c.ended(job.Failed))
 
 	late, broken := 0, 0
 	for i, n := range c.Nodes {
--- a/bench/scenario/deployment.go
+++ b/bench/scenario/deployment.go
@@ -12,6 +12,7 @@
 	"camphorhead.example/bench/cluster"
 	"camphorhead.example/bench/naive"
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/process/settings"
 	"camphorhead.example/camphorhead/version/profile"
@@ -225,11 +226,11 @@
 }
 
 // agentCount sums a counter over all agents.
-func (d *deployment) agentCount(name string) int64 {
+func (d *deployment) agentCount(id metrics.ID) int64 {
 	var sum int64
 	for _, n := range d.cluster.Nodes {
 		if n.Agent != nil {
-			sum += n.Agent.Metrics().Value(name)
+			sum += n.Agent.Metrics().Value(id)
 		}
 	}
 	return sum
--- a/bench/scenario/interference.go
+++ b/bench/scenario/interference.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/resources"
 	"camphorhead.example/camphorhead/version/profile"
 	"camphorhead.example/standin/interference"
@@ -126,7 +127,7 @@
 		waitTasks()
 		from := began.Add(warmup)
 		readings := checkReadings(stream.samples.between(from, from.Add(s.span)))
-		return append(readings, batchReadings(rate, records, d.agentCount("throttles"))...), nil
+		return append(readings, batchReadings(rate, records, d.agentCount(metrics.Throttles))...), nil
 	}
 }
 
--- a/cmd/camphorhead/main.go
+++ b/cmd/camphorhead/main.go
@@ -15,7 +15,6 @@
 	"github.com/jessevdk/go-flags"
 
 	"camphorhead.example/camphorhead/process/event"
-	"camphorhead.example/camphorhead/process/logsink"
 	"camphorhead.example/camphorhead/process/settings"
 )
 
@@ -74,15 +73,13 @@
 }
 
 func serve(cfg settings.Settings, opts options) int {
-	sink := logsink.New(os.Stdout, logsink.DefaultBytes, nil)
-	defer sink.Close()
-	log, err := event.New(sink, cfg.Log.Format, cfg.Log.Level)
+	sink, log, err := openLog(os.Stdout, cfg)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "camphorhead:", err)
 		return exitSettings
 	}
+	defer sink.Close()
 	p := cfg.Process
-	log = log.ForProcess(p.ID, string(cfg.Role), p.Region, p.FailureDomain)
 	log.Emit(event.ProcessStarting, "version", buildVersion(), "file", opts.Settings)
 	boundMemory(cfg, log)
 
@@ -90,7 +87,7 @@
 	defer stop()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	process := newRole(cfg, log)
+	process := newRole(cfg, log, sink.DroppedByEvent)
 	if err := process.Start(ctx); err != nil {
 		log.Emit(event.ListenFailed, "address", p.Listen, "error", err)
 		return exitFailure
--- a/cmd/camphorhead/roles.go
+++ b/cmd/camphorhead/roles.go
@@ -18,20 +18,20 @@
 )
 
 // newRole wires the role of the settings to the protocols that they name.
-func newRole(cfg settings.Settings, log event.Logger) role {
+func newRole(cfg settings.Settings, log event.Logger, dropped func() map[string]int64) role {
 	if cfg.Role == settings.RoleAgent {
-		return agent.New(cfg, agentDeps(cfg, log))
+		return agent.New(cfg, agentDeps(cfg, log, dropped))
 	}
-	return entry.New(cfg, entryDeps(cfg, log))
+	return entry.New(cfg, entryDeps(cfg, log, dropped))
 }
 
-func agentDeps(cfg settings.Settings, log event.Logger) agent.Deps {
+func agentDeps(cfg settings.Settings, log event.Logger, dropped func() map[string]int64) agent.Deps {
 	if cfg.Worker.Protocol != settings.ProtocolPlatform {
-		return agent.Deps{Clock: boottime.New(), Log: log, Worker: platform.NewHTTPWorker(cfg.Worker.URL)}
+		return agent.Deps{Clock: boottime.New(), Log: log, LinesDropped: dropped, Worker: platform.NewHTTPWorker(cfg.Worker.URL)}
 	}
 	store := adapter.NewStore(addressOf(cfg.Store.URL))
 	return agent.Deps{
-		Clock: boottime.New(), Log: log, Worker: adapter.NewWorker(addressOf(cfg.Worker.URL)),
+		Clock: boottime.New(), Log: log, LinesDropped: dropped, Worker: adapter.NewWorker(addressOf(cfg.Worker.URL)),
 		ReadLeader: func(ctx context.Context) (message.Leader, error) {
 			view, err := term.Read(ctx, store)
 			return message.Leader{Term: view.Term, Address: view.Holder.Address}, err
@@ -42,9 +42,9 @@
 	}
 }
 
-func entryDeps(cfg settings.Settings, log event.Logger) entry.Deps {
+func entryDeps(cfg settings.Settings, log event.Logger, dropped func() map[string]int64) entry.Deps {
 	deps := entry.Deps{
-		Clock: boottime.New(), Log: log, Delays: entry.DefaultDelays(),
+		Clock: boottime.New(), Log: log, LinesDropped: dropped, Delays: entry.DefaultDelays(),
 		Store: adapter.NewStore(addressOf(cfg.Store.URL)),
 	}
 	if cfg.Store.Configuration == settings.ConfigurationDocument {
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -32,9 +32,11 @@
 
 // Deps are the outside parts that an agent works with.
 type Deps struct {
-	Clock  clockwork.Clock
-	Log    event.Logger
-	Worker platform.Worker
+	Clock clockwork.Clock
+	Log   event.Logger
+	// LinesDropped returns the log lines that were dropped, by event; nil: none can be.
+	LinesDropped func() map[string]int64
+	Worker       platform.Worker
 	// ReadLeader asks the store who leads; nil: entries are asked. Registry serves
 	// the worker's announcements; nil: it describes itself in its listings.
 	ReadLeader func(ctx context.Context) (message.Leader, error)
@@ -90,8 +92,7 @@
 	a.control = newControl(a)
 	a.web = newWeb(a)
 	a.node = a.newNode()
-	a.metrics.PublishProcess(a.started, a.clock.Now, a.FrameBytes, a.pool.Queued)
-	a.metrics.Gauge("services", func() any { return a.checks.loads() })
+	a.readMetrics()
 	return a
 }
 
--- a/process/agent/checks.go
+++ b/process/agent/checks.go
@@ -10,6 +10,7 @@
 	"camphorhead.example/camphorhead/connection/peer"
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/lockrank"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/queue"
 	"camphorhead.example/camphorhead/request/outcome"
 )
@@ -102,7 +103,7 @@
 	p := &pendingCheck{check: check, request: r, received: c.agent.clock.Now()}
 	s, err := c.begin(p)
 	if err != nil {
-		c.agent.metrics.Add("checks_refused", 1)
+		c.agent.metrics.Add(metrics.ChecksRefused, 1)
 		r.Fail(err)
 		return
 	}
@@ -139,7 +140,7 @@
 
 func (c *checks) fail(p *pendingCheck, err error) {
 	failure := outcome.From(err)
-	c.agent.metrics.Add("checks_refused", 1)
+	c.agent.metrics.Add(metrics.ChecksRefused, 1)
 	c.settle(p, &known{state: message.QueryDone, err: failure})
 	p.request.Fail(failure)
 }
--- a/process/agent/control.go
+++ b/process/agent/control.go
@@ -6,6 +6,7 @@
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/lockrank"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/estimate"
 	"camphorhead.example/camphorhead/request/interference"
 	"camphorhead.example/camphorhead/request/job"
@@ -202,16 +203,16 @@
 	m := c.agent.metrics
 	switch a.Kind {
 	case interference.Throttle:
-		m.Add("throttles", 1)
+		m.Add(metrics.Throttles, 1)
 		c.agent.node.Throttle(runOf(a), a.Percent)
 	case interference.Lift:
-		m.Add("lifts", 1)
+		m.Add(metrics.Lifts, 1)
 		c.agent.node.Throttle(runOf(a), a.Percent)
 	case interference.Move:
 		if a.OverBudget {
-			m.Add("moves_over_budget", 1)
+			m.Add(metrics.MovesOverBudget, 1)
 		}
-		m.Add("evictions_"+string(a.Cause), 1)
+		m.AddFor(metrics.Evictions, string(a.Cause), 1)
 		c.agent.node.Evict(runOf(a), a.Cause)
 	case interference.None:
 	}
--- /dev/null
+++ b/process/agent/measure.go
@@ -0,0 +1,31 @@
+package agent
+
+import (
+	"time"
+
+	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/process/metrics"
+)
+
+// readMetrics publishes what is read when the metrics are.
+func (a *Agent) readMetrics() {
+	a.metrics.ReadProcess(metrics.Process{Traffic: a.FrameBytes, Queued: a.pool.Queued, LinesDropped: a.deps.LinesDropped})
+	a.metrics.Read(metrics.DependencyUp, func() []metrics.Sample {
+		return []metrics.Sample{metrics.Up("leader", a.node.Attached()), metrics.Up("worker", a.node.WorkerAnswers())}
+	})
+	load := func(id metrics.ID, of func(l message.ServiceLoad) float64) {
+		a.metrics.Read(id, func() []metrics.Sample {
+			var samples []metrics.Sample
+			for _, l := range a.checks.loads() {
+				samples = append(samples, metrics.Sample{Label: l.Service, Value: of(l)})
+			}
+			return samples
+		})
+	}
+	load(metrics.Slots, func(l message.ServiceLoad) float64 { return float64(l.Slots) })
+	load(metrics.SlotsBusy, func(l message.ServiceLoad) float64 { return float64(l.Busy) })
+	load(metrics.ChecksQueued, func(l message.ServiceLoad) float64 { return float64(l.Queued) })
+	load(metrics.ServiceTime, func(l message.ServiceLoad) float64 {
+		return (time.Duration(l.ServiceTimeUs) * time.Microsecond).Seconds()
+	})
+}
--- a/process/agent/node.go
+++ b/process/agent/node.go
@@ -9,6 +9,7 @@
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/runs"
 	"camphorhead.example/camphorhead/request/interference"
 )
@@ -49,7 +50,7 @@
 	var pushed message.Config
 	err := a.net.Call(ctx, leader, message.KindConfigPull, message.ConfigPull{Version: a.ConfigVersion()}, &pushed)
 	if err != nil {
-		a.metrics.Add("config_pulls_failed", 1) // the next report asks again
+		a.metrics.Add(metrics.ConfigPullsFailed, 1) // the next report asks again
 		return
 	}
 	a.putInForce(pushed)
--- a/process/agent/service.go
+++ b/process/agent/service.go
@@ -11,6 +11,7 @@
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/queue"
 	"camphorhead.example/camphorhead/request/outcome"
 )
@@ -128,7 +129,7 @@
 	began := s.checks.agent.clock.Now()
 	body, err := s.call(p)
 	took := s.checks.agent.clock.Since(began)
-	s.checks.agent.metrics.Observe("target_call", took)
+	s.checks.agent.metrics.Observe(metrics.TargetCall, took)
 	if err == nil || err.Kind == outcome.DeadlineExceeded {
 		s.windowUs.Add(took.Microseconds())
 		s.windowCount.Add(1)
@@ -138,7 +139,7 @@
 		return
 	}
 	s.estimate.sample(s.checks.agent.clock.Now(), took)
-	s.checks.agent.metrics.Add("checks_served", 1)
+	s.checks.agent.metrics.Add(metrics.ChecksServed, 1)
 	s.checks.agent.log.Emit(event.CheckServed, "request", p.check.Request, "agent", s.checks.agent.cfg.Process.ID,
 		"franchisee", p.check.Franchisee, "service", p.check.Service, "elapsed_ms", took.Milliseconds())
 	s.checks.finish(p, message.CheckReply{Request: p.check.Request, Body: body, Load: s.load()})
--- a/process/agent/web.go
+++ b/process/agent/web.go
@@ -6,6 +6,8 @@
 
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
+
+	"camphorhead.example/camphorhead/process/metrics"
 )
 
 // web is the agent's HTTP listener: announcements of targets, metrics, health.
@@ -48,9 +50,9 @@
 		w.announce(ctx)
 	case "/healthz":
 		ctx.SetBodyString("ok\n")
-	case "/debug/vars":
-		ctx.SetContentType("application/json")
-		ctx.SetBody(w.agent.metrics.JSON())
+	case "/metrics":
+		ctx.SetContentType(metrics.ContentType)
+		ctx.SetBody(w.agent.metrics.Text())
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -9,6 +9,7 @@
 	"camphorhead.example/camphorhead/connection/peer"
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/fleet"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/budget"
 	"camphorhead.example/camphorhead/request/outcome"
 	"camphorhead.example/camphorhead/request/routing"
@@ -204,7 +205,7 @@
 	for {
 		d := e.links.Admit(region, class, bytes)
 		if d.Admit {
-			e.metrics.Add("link_bytes", int64(bytes))
+			e.metrics.Add(metrics.LinkBytes, int64(bytes))
 			return nil
 		}
 		select {
--- a/process/entry/charged.go
+++ b/process/entry/charged.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"camphorhead.example/camphorhead/process/jobstore"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/request/budget"
 	"camphorhead.example/camphorhead/request/job"
@@ -89,7 +90,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			e.metrics.Add("outcomes_not_recorded", 1)
+			e.metrics.Add(metrics.OutcomesNotRecorded, 1)
 			return
 		case <-e.clock.After(claimPause):
 		}
--- a/process/entry/checks.go
+++ b/process/entry/checks.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/budget"
 	"camphorhead.example/camphorhead/request/outcome"
 	"camphorhead.example/camphorhead/request/routing"
@@ -33,7 +34,15 @@
 
 func newRouter(e *Entry, s routing.Settings) *router {
 	r := &router{entry: e, settings: s, policy: routing.DefaultRetryPolicy()}
-	e.metrics.Gauge("attempts", func() any { return r.attempts.Counts() })
+	e.metrics.Read(metrics.Attempts, func() []metrics.Sample {
+		n := r.attempts.Counts()
+		return []metrics.Sample{
+			{Label: "first", Value: float64(n.First)},
+			{Label: "retry", Value: float64(n.Retries)},
+			{Label: "hedge", Value: float64(n.Hedges)},
+			{Label: "wasted", Value: float64(n.Wasted)},
+		}
+	})
 	return r
 }
 
@@ -94,7 +103,7 @@
 	}
 	decision := routing.DecideHedge(routing.Hedged{
 		Idempotent: s.Idempotent, HedgePercent: s.Profile.HedgePercent, Budget: a.budget,
-		P95:    r.entry.metrics.Quantile("check_"+s.Profile.Name, hedgeQuantile),
+		P95:    r.entry.metrics.Quantile(metrics.CheckTime, s.Profile.Name, hedgeQuantile),
 		Hedges: r.entry.fleet.EarnHedge(s.Profile.Name, s.Profile.HedgePercent),
 	})
 	if !decision.Hedge {
--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -7,6 +7,7 @@
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/version/profile"
 )
 
@@ -55,7 +56,7 @@
 	var pushed message.Config
 	err := e.net.Call(ctx, address, message.KindConfigPull, message.ConfigPull{Version: e.ConfigVersion()}, &pushed)
 	if err != nil {
-		e.metrics.Add("config_pulls_failed", 1) // the next update of the leader asks again
+		e.metrics.Add(metrics.ConfigPullsFailed, 1) // the next update of the leader asks again
 		return
 	}
 	e.putInForce(pushed, address)
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -51,7 +51,9 @@
 type Deps struct {
 	Clock clockwork.Clock
 	Log   event.Logger
-	Store platform.Store
+	// LinesDropped returns the log lines that were dropped, by event; nil: none can be.
+	LinesDropped func() map[string]int64
+	Store        platform.Store
 	// Advisor is the policy service; nil: there is none.
 	Advisor platform.Advisor
 	// Delays are the one-way delays that routing assumes.
@@ -131,11 +133,7 @@
 	e.router = newRouter(e, deps.Delays)
 	e.web = newWeb(e)
 	e.node = e.newNode()
-	e.metrics.PublishProcess(e.started, e.clock.Now, e.FrameBytes, e.pool.Queued)
-	e.metrics.Gauge("jobs", func() any {
-		load, _ := e.node.Load()
-		return load
-	})
+	e.readMetrics()
 	return e
 }
 
--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -11,6 +11,7 @@
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/lead"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/routing"
 	"camphorhead.example/camphorhead/version/profile"
@@ -67,7 +68,7 @@
 	}
 	admitted := e.links.Admit(region, routing.ClassProof, bytes).Admit
 	if admitted {
-		e.metrics.Add("link_bytes", int64(bytes))
+		e.metrics.Add(metrics.LinkBytes, int64(bytes))
 	}
 	return admitted
 }
--- a/process/entry/routes.go
+++ b/process/entry/routes.go
@@ -52,7 +52,7 @@
 	{fasthttp.MethodDelete, "/v1/stops/", reads, (*web).cancelStop},
 	{fasthttp.MethodGet, "/v1/status", reads, (*web).status},
 	{fasthttp.MethodGet, "/v1/timeline", reads, (*web).timeline},
-	{fasthttp.MethodGet, "/debug/vars", reads, (*web).metrics},
+	{fasthttp.MethodGet, "/metrics", reads, (*web).metrics},
 	{fasthttp.MethodGet, "/healthz", open, (*web).health},
 	{fasthttp.MethodGet, "/readyz", open, (*web).readiness},
 }
--- a/process/entry/web.go
+++ b/process/entry/web.go
@@ -14,6 +14,7 @@
 	"camphorhead.example/camphorhead/connection/api"
 	"camphorhead.example/camphorhead/process/auth"
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/tlsfiles"
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/outcome"
@@ -94,7 +95,7 @@
 func (w *web) refuse(x *exchange, id string, err error) {
 	failure := outcome.From(err)
 	row := failure.Kind.Answer()
-	w.entry.metrics.Add("refused_"+string(failure.Kind), 1)
+	w.entry.metrics.AddFor(metrics.Refusals, string(failure.Kind), 1)
 	w.writeJSON(x, row.Status, api.Refusal{
 		Kind: failure.Kind, Ran: failure.Ran(), Retry: row.Retry || failure.NotRun,
 		Field: failure.Field, Message: failure.Message, RequestID: id,
@@ -134,8 +135,8 @@
 func (w *web) health(x *exchange) { x.SetBodyString("ok\n") }
 
 func (w *web) metrics(x *exchange) {
-	x.SetContentType("application/json")
-	x.SetBody(w.entry.metrics.JSON())
+	x.SetContentType(metrics.ContentType)
+	x.SetBody(w.entry.metrics.Text())
 }
 
 func (w *web) readiness(x *exchange) {
@@ -164,7 +165,7 @@
 		return
 	}
 	body, err := w.entry.check(s)
-	w.entry.metrics.Observe("check_"+s.Profile.Name, w.entry.clock.Since(began))
+	w.entry.metrics.ObserveFor(metrics.CheckTime, s.Profile.Name, w.entry.clock.Since(began))
 	if err != nil {
 		failure := outcome.From(err)
 		w.entry.log.Emit(event.CheckRefused, "request", id, "profile", s.Profile.Name,
--- a/process/event/catalogue.go
+++ b/process/event/catalogue.go
@@ -39,6 +39,7 @@
 	{InternalError, "internal_error", Error, "internal error", fields("component error"), "Report it as a fault of camphorhead with the events before it."},
 	{SettingsReloaded, "settings_reloaded", Info, "settings file was read again", fields("file reason"), "Settings that need a restart are named in reason."},
 	{MemoryBound, "memory_bound", Info, "memory of the process is bounded", fields("bytes"), none},
+	{LogLinesDropped, "log_lines_dropped", Error, "log lines were dropped, the output did not take them", fields("kind lines"), "Check what reads the output of the process. The time line of the process still has the events."},
 }
 
 var connectionEvents = []Definition{
@@ -72,7 +73,7 @@
 	{StoreAnswerLost, "store_answer_lost", Info, "response of the store was lost, the repeated call settled it", fields("elapsed_ms"), "If it repeats, check the network to the store."},
 	{JobAccepted, "job_accepted", Info, "job is durable and accepted", fields("job kind profile franchisee elapsed_ms term"), none},
 	{JobEvicted, "job_evicted", Info, "task of a job is evicted", fields("job incarnation agent cause"), "If one profile repeats it, raise its declared resources."},
-	{JobFinished, "job_finished", Debug, "job is finished", fields("job incarnation state elapsed_ms"), none},
+	{JobFinished, "job_finished", Info, "job is finished", fields("job incarnation state elapsed_ms"), none},
 	{JobRefused, "job_refused", Info, "job is refused", fields("kind profile franchisee reason ran"), "Follow the reason: quota, size of the job, or capacity."},
 	{JobQueued, "job_queued", Info, "recorded job is scheduled", fields("job profile tasks source"), none},
 	{JobCancelWanted, "job_cancel_wanted", Info, "cancelling of a job is recorded", fields("job source"), none},
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -6,6 +6,7 @@
 package event
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"log/slog"
@@ -54,8 +55,17 @@
 // Logger writes events. The zero value writes nothing. It may be copied and
 // used from any goroutine.
 type Logger struct {
-	out      logr.Logger
-	recorder Recorder
+	out logr.Logger
+	// decisions takes the events about a request, if they are set apart.
+	decisions *logr.Logger
+	recorder  Recorder
+}
+
+// WithDecisions returns a Logger that writes the events about a request through
+// another one, whose output drops lines last.
+func (l Logger) WithDecisions(other Logger) Logger {
+	l.decisions = &other.out
+	return l
 }
 
 // WithRecorder returns a Logger that also hands each event to a recorder.
@@ -92,7 +102,12 @@
 
 // ForProcess returns a Logger whose events all carry the identity of the process.
 func (l Logger) ForProcess(id, role, region, failureDomain string) Logger {
-	l.out = l.out.WithValues("process", id, "role", role, "region", region, "failure_domain", failureDomain)
+	identity := []any{"process", id, "role", role, "region", region, "failure_domain", failureDomain}
+	l.out = l.out.WithValues(identity...)
+	if l.decisions != nil {
+		out := l.decisions.WithValues(identity...)
+		l.decisions = &out
+	}
 	return l
 }
 
@@ -108,12 +123,15 @@
 	if l.recorder != nil {
 		l.recorder.Record(int(d.ID), d.Name, keysAndValues)
 	}
+	out := l.out
+	if l.decisions != nil && d.Decides() {
+		out = *l.decisions
+	}
 	if d.Level == Error {
-		l.out.Error(nil, d.Message, d.values(keysAndValues)...)
+		out.Error(nil, d.Message, d.values(keysAndValues)...)
 		return
 	}
-	out := l.out.V(verbosity(d.Level))
-	if out.Enabled() {
+	if out = out.V(verbosity(d.Level)); out.Enabled() {
 		out.Info(d.Message, d.values(keysAndValues)...)
 	}
 }
@@ -138,6 +156,20 @@
 	return values
 }
 
+// Decides reports whether an event is about one request, job or task.
+func (d Definition) Decides() bool { return d.lists("request") || d.lists("job") || d.lists("task") }
+
+// NameIn returns the name of the event of a written line; it is empty if there is none.
+func NameIn(line []byte) string {
+	for _, mark := range []string{`"name":"`, " name="} {
+		if _, rest, ok := bytes.Cut(line, []byte(mark)); ok {
+			end := bytes.IndexAny(rest, "\" \n")
+			return string(rest[:max(end, 0)])
+		}
+	}
+	return ""
+}
+
 func (d Definition) lists(name string) bool {
 	return slices.ContainsFunc(d.Fields, func(f Field) bool { return f.Name == name })
 }
--- a/process/event/field.go
+++ b/process/event/field.go
@@ -10,6 +10,7 @@
 	"agents":           "count",
 	"failures":         "count",
 	"known":            "count",
+	"lines":            "count",
 	"attempt":          "count",
 	"based_on_version": "version",
 	"bytes":            "bytes",
--- a/process/event/id.go
+++ b/process/event/id.go
@@ -14,6 +14,7 @@
 	InternalError
 	SettingsReloaded
 	MemoryBound
+	LogLinesDropped
 )
 
 // Connections: 2000 to 2999.
--- a/process/lead/advice.go
+++ b/process/lead/advice.go
@@ -5,6 +5,7 @@
 
 	"github.com/zeebo/errs"
 
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/schedule"
 )
 
@@ -34,7 +35,7 @@
 	defer cancel()
 	asked := l.node.cfg.Clock.Now()
 	tickets, err := l.node.cfg.Advisor.Advise(ctx, q.Step, q.Workers)
-	l.node.cfg.Metrics.Observe("advice", l.node.cfg.Clock.Since(asked))
+	l.node.cfg.Metrics.Observe(metrics.AdviceCall, l.node.cfg.Clock.Since(asked))
 	l.table.Advised(asked, q, tickets, err)
 	l.dispatch()
 }
--- a/process/lead/commits.go
+++ b/process/lead/commits.go
@@ -9,6 +9,7 @@
 
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/jobstore"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/process/term"
 )
@@ -96,7 +97,7 @@
 // conclude takes in the outcome of a transaction.
 func (l *leading) conclude(sent time.Time, open *openBatch, err error) {
 	now := l.node.cfg.Clock.Now()
-	l.node.cfg.Metrics.Observe("store_commit", now.Sub(sent))
+	l.node.cfg.Metrics.Observe(metrics.StoreCommit, now.Sub(sent))
 	switch {
 	case err == nil:
 		l.succeeded(sent, open)
@@ -186,3 +187,15 @@
 		}
 	}
 }
+
+// StoreAnswers reports whether the store has confirmed what this entry last wrote
+// as the leader; true on other entries.
+func (n *Node) StoreAnswers() bool {
+	l := n.leadingLoaded()
+	if l == nil {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.mu.failingSince.IsZero()
+}
--- a/process/lead/following.go
+++ b/process/lead/following.go
@@ -7,6 +7,7 @@
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/term"
 	"camphorhead.example/camphorhead/request/outcome"
 )
@@ -202,7 +203,7 @@
 		return
 	}
 	if err := n.cfg.Pool.Submit(func(ctx context.Context) { n.cfg.Behind(ctx, address) }); err != nil {
-		n.cfg.Metrics.Add("config_pulls_refused", 1) // the next update asks again
+		n.cfg.Metrics.Add(metrics.ConfigPullsRefused, 1) // the next update asks again
 	}
 }
 
--- a/process/lead/inbox.go
+++ b/process/lead/inbox.go
@@ -6,6 +6,7 @@
 
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/jobstore"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
 )
 
@@ -24,7 +25,7 @@
 		in, err = l.reload(ctx)
 	}
 	if err != nil {
-		l.node.cfg.Metrics.Add("inbox_read_failed", 1)
+		l.node.cfg.Metrics.Add(metrics.InboxReadsFailed, 1)
 		return err
 	}
 	for i := range in.Jobs {
--- a/process/lead/intake.go
+++ b/process/lead/intake.go
@@ -8,6 +8,7 @@
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/jobstore"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/outcome"
@@ -50,8 +51,8 @@
 		return stored, false, failure
 	}
 	if created {
-		n.cfg.Metrics.Add("jobs_accepted", 1)
-		n.cfg.Metrics.Observe("job_record", n.cfg.Clock.Since(began))
+		n.cfg.Metrics.Add(metrics.JobsAccepted, 1)
+		n.cfg.Metrics.Observe(metrics.JobRecord, n.cfg.Clock.Since(began))
 		n.cfg.Log.Emit(event.JobAccepted, "job", def.ID, "kind", kindOf(def), "profile", def.Profile,
 			"franchisee", franchiseeOf(def), "elapsed_ms", n.cfg.Clock.Since(began).Milliseconds(), "term", number)
 	}
@@ -101,7 +102,7 @@
 // In an outage for all entries the caller waits: no other entry could serve it.
 func (n *Node) persist(ctx context.Context, call func(context.Context) error) error {
 	if n.cutOff() && !n.reach.admit() {
-		n.cfg.Metrics.Add("store_calls_refused", 1)
+		n.cfg.Metrics.Add(metrics.StoreCallsRefused, 1)
 		return platform.ErrUnavailable
 	}
 	began := n.cfg.Clock.Now()
@@ -124,7 +125,7 @@
 		if n.cfg.Clock.Since(began) >= patienceHalves*n.cfg.Timing.Call/2 && n.cutOff() {
 			return err
 		}
-		n.cfg.Metrics.Add("store_retries", 1)
+		n.cfg.Metrics.Add(metrics.StoreRetries, 1)
 		select {
 		case <-ctx.Done():
 			return err
--- a/process/lead/leading.go
+++ b/process/lead/leading.go
@@ -12,6 +12,7 @@
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/jobstore"
 	"camphorhead.example/camphorhead/process/lockrank"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/process/schedule"
 	"camphorhead.example/camphorhead/process/term"
@@ -311,7 +312,7 @@
 	}
 	if err := l.writer.Purge(ctx, ids); err != nil {
 		// The records stay; the next leader enters them as ended and drops them.
-		l.node.cfg.Metrics.Add("purge_failed", 1)
+		l.node.cfg.Metrics.Add(metrics.PurgesFailed, 1)
 	}
 }
 
--- a/process/lead/lookup.go
+++ b/process/lead/lookup.go
@@ -6,6 +6,7 @@
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/jobstore"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/outcome"
 )
@@ -90,7 +91,7 @@
 	defer cancel()
 	var reply message.LookupReply
 	if n.cfg.Net.Call(ctx, address, message.KindLookup, &message.JobRef{Job: id}, &reply) != nil {
-		n.cfg.Metrics.Add("lookups_without_leader", 1)
+		n.cfg.Metrics.Add(metrics.LookupsWithoutLeader, 1)
 		return nil
 	}
 	return reply.Record
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -353,7 +353,7 @@
 	n.mu.Unlock()
 	switch {
 	case err != nil:
-		n.cfg.Metrics.Add("store_read_failed", 1)
+		n.cfg.Metrics.Add(metrics.StoreReadsFailed, 1)
 	case view.Term > before && view.Mine(n.cfg.Self()) && n.leading.Load() == nil:
 		// The answer to this process's own claim was lost.
 		n.begin(ctx, view, view)
--- a/process/logsink/logsink.go
+++ b/process/logsink/logsink.go
@@ -2,14 +2,16 @@
 //
 // A line is copied into a bounded buffer and written by one goroutine, so that
 // logging never blocks its caller and costs one write for many lines. What
-// does not fit is dropped and counted; the count is written as a line of its own
-// once there is room again. Lines of decisions about accepted work may use all
-// of the buffer, other lines only a part of it.
+// does not fit is dropped and counted by event; the counts are written as lines of
+// their own once the output takes lines again. Lines of decisions about requests
+// may use all of the buffer, other lines only a part of it.
 package logsink
 
 import (
 	"bytes"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,26 +38,38 @@
 // ends in Close.
 type Sink struct {
 	out   io.Writer
-	limit int
-	// report makes the line about dropped ones.
-	report  func(dropped int64) []byte
-	dropped atomic.Int64
-	total   atomic.Int64
-	wake    chan struct{}
-	done    chan struct{}
-	wg      sync.WaitGroup
-	once    sync.Once
-
-	mu   lockrank.Mutex // guards full
+	cfg   Config
+	total atomic.Int64
+	wake  chan struct{}
+	done  chan struct{}
+	wg    sync.WaitGroup
+	once  sync.Once
+
+	mu   lockrank.Mutex // guards full and dropped
 	full bytes.Buffer
+	// dropped are the lines that were dropped, by event.
+	dropped map[string]int64
+
+	// reported is what the output was told of; run alone uses it.
+	reported map[string]int64
+}
+
+// Config sets up a Sink.
+type Config struct {
+	// Bytes bounds what waits for the output.
+	Bytes int
+	// EventOf names the event of a line.
+	EventOf func(line []byte) string
+	// Report makes the line about the dropped lines of an event. The sink's
+	// goroutine alone calls it.
+	Report func(event string, dropped int64) []byte
 }
 
-// New returns a sink of the given size before out; report makes the line about
-// dropped ones and may be nil.
-func New(out io.Writer, limit int, report func(dropped int64) []byte) *Sink {
+// New returns a sink before out.
+func New(out io.Writer, cfg Config) *Sink {
 	s := &Sink{
-		out: out, limit: limit, report: report, wake: make(chan struct{}, 1), done: make(chan struct{}),
-		mu: lockrank.NewMutex(lockrank.RankLog),
+		out: out, cfg: cfg, wake: make(chan struct{}, 1), done: make(chan struct{}),
+		mu: lockrank.NewMutex(lockrank.RankLog), dropped: map[string]int64{}, reported: map[string]int64{},
 	}
 	s.wg.Go(s.run)
 	return s
@@ -64,7 +78,7 @@
 // Write implements io.Writer for lines other than decisions. It never blocks
 // and never fails.
 func (s *Sink) Write(line []byte) (int, error) {
-	s.add(line, s.limit*plainShare/100)
+	s.add(line, s.cfg.Bytes*plainShare/100)
 	return len(line), nil
 }
 
@@ -75,7 +89,7 @@
 
 // Write implements io.Writer.
 func (d decisions) Write(line []byte) (int, error) {
-	d.add(line, d.limit)
+	d.add(line, d.cfg.Bytes)
 	return len(line), nil
 }
 
@@ -88,8 +102,11 @@
 	much := s.full.Len() >= flushBytes
 	s.mu.Unlock()
 	if !fits {
-		s.dropped.Add(1)
 		s.total.Add(1)
+		name := s.cfg.EventOf(line)
+		s.mu.Lock()
+		s.dropped[name]++
+		s.mu.Unlock()
 	}
 	if much {
 		select {
@@ -102,6 +119,13 @@
 // Dropped returns the number of lines that were dropped so far.
 func (s *Sink) Dropped() int64 { return s.total.Load() }
 
+// DroppedByEvent returns the same by event.
+func (s *Sink) DroppedByEvent() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.dropped)
+}
+
 func (s *Sink) run() {
 	ticks := time.NewTicker(flushInterval)
 	defer ticks.Stop()
@@ -129,9 +153,18 @@
 		_, _ = s.out.Write(rest[:n]) // there is nowhere to report it
 		rest = rest[n:]
 	}
-	if n := s.dropped.Swap(0); n > 0 && s.report != nil {
-		_, _ = s.out.Write(s.report(n))
+	s.reportDropped()
+}
+
+// reportDropped writes how many lines were dropped since the last report.
+func (s *Sink) reportDropped() {
+	now := s.DroppedByEvent()
+	for _, name := range slices.Sorted(maps.Keys(now)) {
+		if n := now[name] - s.reported[name]; n > 0 {
+			_, _ = s.out.Write(s.cfg.Report(name, n)) // there is nowhere to report it
+		}
 	}
+	s.reported = now
 }
 
 // chunk returns the length of the next write: as many whole lines as fit.
--- a/process/logsink/logsink_test.go
+++ b/process/logsink/logsink_test.go
@@ -31,13 +31,19 @@
 	return g.got.String()
 }
 
-func reportLine(n int64) []byte { return []byte(fmt.Sprintf("dropped %d\n", n)) }
+func config(limit int) Config {
+	return Config{
+		Bytes:   limit,
+		EventOf: func(line []byte) string { return string(line[:1]) },
+		Report:  func(event string, n int64) []byte { return []byte(fmt.Sprintf("dropped %s %d\n", event, n)) },
+	}
+}
 
 // Guards against a request that waits for a stuck output, against memory that
 // grows with it, and against lines that vanish without a count.
 func TestStuckOutputDropsAndCounts(t *testing.T) {
 	out := &gate{open: make(chan struct{})}
-	s := New(out, 1000, reportLine)
+	s := New(out, config(1000))
 	began := time.Now()
 	for range 10_000 {
 		_, _ = s.Write([]byte("0123456789\n"))
@@ -46,7 +52,7 @@
 	require.Greater(t, s.Dropped(), int64(9000))
 	close(out.open)
 	s.Close()
-	require.Contains(t, out.text(), fmt.Sprintf("dropped %d\n", s.Dropped()))
+	require.Contains(t, out.text(), fmt.Sprintf("dropped 0 %d\n", s.DroppedByEvent()["0"]))
 	require.Equal(t, 10_000-int(s.Dropped()), strings.Count(out.text(), "0123456789\n"))
 }
 
@@ -54,7 +60,7 @@
 // lines must not use.
 func TestDecisionsAreDroppedLast(t *testing.T) {
 	out := &gate{open: make(chan struct{})}
-	s := New(out, 1000, nil)
+	s := New(out, config(1000))
 	for range 200 {
 		_, _ = s.Write([]byte("plain....\n"))
 	}
@@ -70,7 +76,7 @@
 func TestCloseWritesWhatWaits(t *testing.T) {
 	out := &gate{open: make(chan struct{})}
 	close(out.open)
-	s := New(out, DefaultBytes, nil)
+	s := New(out, config(DefaultBytes))
 	for i := range 100 {
 		_, _ = fmt.Fprintf(s, "line %d\n", i)
 	}
@@ -90,7 +96,7 @@
 // Guards against lines that a pipe mixes with those of other writers, or cuts.
 func TestWritesHoldWholeLines(t *testing.T) {
 	var out writes
-	s := New(&out, DefaultBytes, nil)
+	s := New(&out, config(DefaultBytes))
 	line := append(bytes.Repeat([]byte("x"), 299), '\n')
 	long := append(bytes.Repeat([]byte("y"), 2*chunkBytes), '\n')
 	for range 100 {
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -1,14 +1,13 @@
-// Package metrics holds the counters, gauges and histograms of one process as
-// expvar values.
+// Package metrics holds the counters, gauges and histograms of one process and
+// writes them in the text format that common tools read.
 //
-// They are not published under expvar's global names, because tests and the
-// demo run several processes' roles in one operating system process.
+// A registry belongs to one process's role: tests and the demo run several in one
+// operating system process.
 package metrics
 
 import (
-	"encoding/json"
-	"expvar"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -18,106 +17,130 @@
 
 // Registry holds the metrics of one process.
 type Registry struct {
-	vars       expvar.Map
-	histograms sync.Map // name to *Histogram
+	values [numIDs]values
 }
 
-// New returns an empty registry.
-func New() *Registry {
-	r := &Registry{}
-	r.vars.Init()
-	return r
+// values are those of one metric.
+type values struct {
+	plain  atomic.Int64
+	series sync.Map // label to *atomic.Int64 or *histogram
+	read   atomic.Pointer[func() []Sample]
+}
+
+// Sample is a value that is read when the metrics are.
+type Sample struct {
+	Label string
+	Value float64
 }
 
+// Up is the sample of a dependency: 1 while it answers.
+func Up(dependency string, answers bool) Sample {
+	if answers {
+		return Sample{dependency, 1}
+	}
+	return Sample{dependency, 0}
+}
+
+// New returns an empty registry.
+func New() *Registry { return &Registry{} }
+
 // Add adds delta to a counter.
-func (r *Registry) Add(name string, delta int64) { r.vars.Add(name, delta) }
+func (r *Registry) Add(id ID, delta int64) { r.values[id].plain.Add(delta) }
+
+// AddFor adds delta to a counter with a label.
+func (r *Registry) AddFor(id ID, label string, delta int64) {
+	found, ok := r.values[id].series.Load(label)
+	if !ok {
+		found, _ = r.values[id].series.LoadOrStore(label, new(atomic.Int64))
+	}
+	found.(*atomic.Int64).Add(delta)
+}
+
+// Value returns the sum of a counter over its labels.
+func (r *Registry) Value(id ID) int64 {
+	sum := r.values[id].plain.Load()
+	r.values[id].series.Range(func(_, v any) bool {
+		if n, ok := v.(*atomic.Int64); ok {
+			sum += n.Load()
+		}
+		return true
+	})
+	return sum
+}
 
-// Value returns a counter's value; an unknown one is 0.
-func (r *Registry) Value(name string) int64 {
-	if v, ok := r.vars.Get(name).(*expvar.Int); ok {
-		return v.Value()
+// ValueFor returns a counter's value for one label.
+func (r *Registry) ValueFor(id ID, label string) int64 {
+	if v, ok := r.values[id].series.Load(label); ok {
+		return v.(*atomic.Int64).Load()
 	}
 	return 0
 }
 
-// Gauge publishes a value that is read when the metrics are.
-func (r *Registry) Gauge(name string, read func() any) { r.vars.Set(name, expvar.Func(read)) }
+// Read sets how the values of a metric are read when the metrics are.
+func (r *Registry) Read(id ID, read func() []Sample) { r.values[id].read.Store(&read) }
+
+// ReadOne is Read for a metric without a label.
+func (r *Registry) ReadOne(id ID, read func() float64) {
+	r.Read(id, func() []Sample { return []Sample{{Value: read()}} })
+}
 
 // Observe records a duration in a histogram.
-func (r *Registry) Observe(name string, d time.Duration) { r.histogram(name).Record(d) }
+func (r *Registry) Observe(id ID, d time.Duration) { r.ObserveFor(id, "", d) }
 
-// Quantile returns a quantile (0 to 100) of a histogram.
-func (r *Registry) Quantile(name string, quantile float64) time.Duration {
-	return r.histogram(name).Quantile(quantile)
+// ObserveFor records a duration in a histogram with a label.
+func (r *Registry) ObserveFor(id ID, label string, d time.Duration) {
+	r.histogram(id, label).record(d.Microseconds())
 }
 
-// JSON returns all metrics as one JSON object.
-func (r *Registry) JSON() []byte { return []byte(r.vars.String()) }
+// ObserveRatio records a ratio in a histogram.
+func (r *Registry) ObserveRatio(id ID, ratio float64) {
+	r.histogram(id, "").record(int64(ratio * microsPerUnit))
+}
 
-func (r *Registry) histogram(name string) *Histogram {
-	if found, ok := r.histograms.Load(name); ok {
-		return found.(*Histogram)
-	}
-	stored, loaded := r.histograms.LoadOrStore(name, newHistogram())
-	h := stored.(*Histogram)
-	if !loaded {
-		r.vars.Set(name, h)
+// Quantile returns a quantile (0 to 100) of a histogram of durations.
+func (r *Registry) Quantile(id ID, label string, quantile float64) time.Duration {
+	return r.histogram(id, label).quantile(quantile)
+}
+
+func (r *Registry) histogram(id ID, label string) *histogram {
+	found, ok := r.values[id].series.Load(label)
+	if !ok {
+		found, _ = r.values[id].series.LoadOrStore(label, newHistogram())
 	}
-	return h
+	return found.(*histogram)
 }
 
 const (
-	histogramMaxUs  = 600_000_000
+	// microsPerUnit relates what histograms count, millionths, to what they export.
+	microsPerUnit   = 1e6
+	histogramMax    = 600 * microsPerUnit
 	histogramDigits = 2
 )
 
-// Histogram counts durations; it is an expvar.Var of its quantiles in microseconds.
-type Histogram struct {
-	mu     lockrank.Mutex // guards counts
+// histogram counts durations in microseconds, or ratios in millionths.
+type histogram struct {
+	mu     lockrank.Mutex // guards the fields below
 	counts *hdrhistogram.Histogram
+	sum    int64
 }
 
-func newHistogram() *Histogram {
-	return &Histogram{
+func newHistogram() *histogram {
+	return &histogram{
 		mu:     lockrank.NewMutex(lockrank.RankMetrics),
-		counts: hdrhistogram.New(1, histogramMaxUs, histogramDigits),
+		counts: hdrhistogram.New(1, histogramMax, histogramDigits),
 	}
 }
 
-// Record adds one duration.
-func (h *Histogram) Record(d time.Duration) {
+func (h *histogram) record(value int64) {
+	value = min(max(value, 1), histogramMax)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	_ = h.counts.RecordValue(min(max(d.Microseconds(), 1), histogramMaxUs))
+	_ = h.counts.RecordValue(value) // it is within the range
+	h.sum += value
 }
 
-// Quantile returns a quantile (0 to 100).
-func (h *Histogram) Quantile(quantile float64) time.Duration {
+func (h *histogram) quantile(quantile float64) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return time.Duration(h.counts.ValueAtQuantile(quantile)) * time.Microsecond
 }
-
-// quantiles is the exported form of a histogram, in microseconds.
-type quantiles struct {
-	Count int64 `json:"count"`
-	P50Us int64 `json:"p50_us"`
-	P90Us int64 `json:"p90_us"`
-	P99Us int64 `json:"p99_us"`
-	MaxUs int64 `json:"max_us"`
-}
-
-// String implements expvar.Var.
-func (h *Histogram) String() string {
-	h.mu.Lock()
-	q := quantiles{
-		Count: h.counts.TotalCount(), P50Us: h.counts.ValueAtQuantile(50),
-		P90Us: h.counts.ValueAtQuantile(90), P99Us: h.counts.ValueAtQuantile(99), MaxUs: h.counts.Max(),
-	}
-	h.mu.Unlock()
-	encoded, err := json.Marshal(q)
-	if err != nil {
-		return "{}"
-	}
-	return string(encoded)
-}
--- a/process/metrics/process.go
+++ b/process/metrics/process.go
@@ -1,34 +1,64 @@
 package metrics
 
 import (
+	"bytes"
+	"os"
+	"strconv"
 	"syscall"
 	"time"
 )
 
-// FrameBytes is the traffic of a process in frames.
-type FrameBytes struct {
-	Sent     int64 `json:"sent"`
-	Received int64 `json:"received"`
+// Process describes what every role has besides its own metrics.
+type Process struct {
+	// Traffic returns the bytes of frames; Queued the work that waits for the pool.
+	Traffic func() (sent, received int64)
+	Queued  func() int
+	// LinesDropped returns the log lines that were dropped, by event; nil: none can be.
+	LinesDropped func() map[string]int64
 }
 
-// PublishProcess adds the gauges that every role has: its frame traffic, the
-// jobs that wait for a pool worker, and the share of one core that it has used
-// since it started.
-func (r *Registry) PublishProcess(started time.Time, now func() time.Time, traffic func() (sent, received int64), queued func() int) {
-	r.Gauge("frame_bytes", func() any {
-		sent, received := traffic()
-		return FrameBytes{Sent: sent, Received: received}
+// ReadProcess publishes the metrics of the operating system process.
+func (r *Registry) ReadProcess(p Process) {
+	r.Read(FrameBytes, func() []Sample {
+		sent, received := p.Traffic()
+		return []Sample{{"received", float64(received)}, {"sent", float64(sent)}}
 	})
-	r.Gauge("pool_queued", func() any { return queued() })
-	r.Gauge("processor_share", func() any { return processorShare(now().Sub(started)) })
+	r.ReadOne(PoolQueued, func() float64 { return float64(p.Queued()) })
+	r.ReadOne(ProcessorTime, processorTime)
+	r.ReadOne(Memory, residentBytes)
+	if p.LinesDropped != nil {
+		r.Read(LogLinesDropped, func() []Sample {
+			var samples []Sample
+			for name, n := range p.LinesDropped() {
+				samples = append(samples, Sample{name, float64(n)})
+			}
+			return samples
+		})
+	}
 }
 
-// processorShare returns the processor time of the operating system process
-// for each second of a span.
-func processorShare(span time.Duration) float64 {
+// processorTime returns the processor time of the operating system process in seconds.
+func processorTime() float64 {
 	var usage syscall.Rusage
-	if span <= 0 || syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
+}
+
+// residentBytes returns the memory of the process; 0 where the system does not tell.
+func residentBytes() float64 {
+	statm, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := bytes.Fields(statm)
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.ParseFloat(string(fields[1]), 64)
+	if err != nil {
 		return 0
 	}
-	return float64(usage.Utime.Nano()+usage.Stime.Nano()) / float64(span)
+	return pages * float64(os.Getpagesize())
 }
--- a/process/platform/counting.go
+++ b/process/platform/counting.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"time"
+
+	"camphorhead.example/camphorhead/process/metrics"
 )
 
-// Counter takes the names of counters; a metrics registry is one.
+// Counter counts by label; a metrics registry is one.
 type Counter interface {
-	Add(name string, delta int64)
+	AddFor(id metrics.ID, label string, delta int64)
 }
 
 // CountingStore counts the calls of a Store as the platform does: reads with
@@ -17,37 +19,37 @@
 	Counter Counter
 }
 
-// Names of the counters.
+// The kinds of calls that are counted apart.
 const (
-	storeReads   = "store_reads"
-	storeWrites  = "store_writes"
-	storeWatches = "store_watches"
+	storeReads   = "read"
+	storeWrites  = "write"
+	storeWatches = "watch"
 )
 
 // Read implements Store.
 func (c CountingStore) Read(ctx context.Context, key string) (KV, error) {
-	c.Counter.Add(storeReads, 1)
+	c.Counter.AddFor(metrics.StoreCalls, storeReads, 1)
 	return c.Store.Read(ctx, key)
 }
 
 // List implements Store.
 func (c CountingStore) List(ctx context.Context, prefix string) (items []KV, revision uint64, err error) {
-	c.Counter.Add(storeReads, 1)
+	c.Counter.AddFor(metrics.StoreCalls, storeReads, 1)
 	return c.Store.List(ctx, prefix)
 }
 
 // Commit implements Store.
 func (c CountingStore) Commit(ctx context.Context, t Txn) (revision uint64, err error) {
-	c.Counter.Add(storeWrites, 1)
+	c.Counter.AddFor(metrics.StoreCalls, storeWrites, 1)
 	return c.Store.Commit(ctx, t)
 }
 
 // Changes implements Store.
 func (c CountingStore) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (changes []Change, revision uint64, err error) {
 	if wait > 0 {
-		c.Counter.Add(storeWatches, 1)
+		c.Counter.AddFor(metrics.StoreCalls, storeWatches, 1)
 	} else {
-		c.Counter.Add(storeReads, 1)
+		c.Counter.AddFor(metrics.StoreCalls, storeReads, 1)
 	}
 	return c.Store.Changes(ctx, prefix, after, wait)
 }
--- a/process/platform/counting_test.go
+++ b/process/platform/counting_test.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"camphorhead.example/camphorhead/process/metrics"
 )
 
 type counts map[string]int64
 
-func (c counts) Add(name string, delta int64) { c[name] += delta }
+func (c counts) AddFor(_ metrics.ID, label string, delta int64) { c[label] += delta }
 
 type emptyStore struct{ Store }
 
--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -7,6 +7,7 @@
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/request/job"
 )
@@ -89,7 +90,7 @@
 	if n.runs[o.Key] != nil {
 		return nil
 	}
-	reason := ""
+	reason, label := "", ""
 	switch _, hasInput := n.inputs[o.Key.Task.Job]; {
 	case !hasInput:
 		reason = message.RefusedInput
@@ -99,10 +100,14 @@
 		reason = "a run of unknown size is here"
 	default:
 		if err := n.reserve(o); err != nil {
-			reason = err.Error()
+			reason, label = err.Error(), "room"
 		}
 	}
+	if label == "" {
+		label = reason
+	}
 	if reason != "" {
+		n.cfg.Metrics.AddFor(metrics.StartsRejected, label, 1)
 		n.refused = append(n.refused, message.RunRefusal{Key: o.Key, Reason: reason})
 		n.changed = true
 		return nil
@@ -137,7 +142,7 @@
 // submit runs a call to the worker; a full queue refuses it.
 func (n *Node) submit(call func(ctx context.Context)) bool {
 	if err := n.calls.Submit(call); err != nil {
-		n.cfg.Metrics.Add("worker_calls_refused", 1)
+		n.cfg.Metrics.Add(metrics.WorkerCallsRefused, 1)
 		return false
 	}
 	return true
@@ -159,6 +164,7 @@
 		n.changed = true
 	}
 	n.mu.Unlock()
+	n.cfg.Metrics.AddFor(metrics.StartsRejected, reason, 1)
 	n.cfg.Log.Emit(event.RunRefused, "task", r.order.Key.Task.String(), "run", r.order.Key.Run, "reason", reason)
 	n.link.kick()
 }
@@ -285,8 +291,8 @@
 	n.noteClock(n.lifeMs, clockMs, now)
 	stop := r.stopping
 	n.mu.Unlock()
-	n.cfg.Metrics.Add("tasks_started", 1)
-	n.cfg.Metrics.Observe("worker_start", now.Sub(began))
+	n.cfg.Metrics.Add(metrics.RunsStarted, 1)
+	n.cfg.Metrics.Observe(metrics.WorkerStart, now.Sub(began))
 	n.cfg.Log.Emit(event.TaskStarted, "task", r.order.Key.Task.String(), "run", r.order.Key.Run, "elapsed_ms", now.Sub(began).Milliseconds())
 	if stop {
 		n.repeatStops(now)
@@ -310,7 +316,7 @@
 		n.token++
 	}
 	n.mu.Unlock()
-	n.cfg.Metrics.Add("worker_starts_unanswered", 1)
+	n.cfg.Metrics.Add(metrics.StartsUnanswered, 1)
 	n.cfg.Log.Emit(event.StartUnanswered, "task", r.order.Key.Task.String(), "run", r.order.Key.Run)
 }
 
--- a/process/runs/link.go
+++ b/process/runs/link.go
@@ -10,6 +10,7 @@
 	"camphorhead.example/camphorhead/connection/peer"
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/lockrank"
+	"camphorhead.example/camphorhead/process/metrics"
 )
 
 const (
@@ -165,7 +166,7 @@
 	var leader message.Leader
 	err := l.node.cfg.Net.Call(ctx, address, message.KindWhoLeads, message.WhoLeads{}, &leader)
 	if err != nil {
-		l.node.cfg.Metrics.Add("leader_not_told", 1) // others are asked at the same time
+		l.node.cfg.Metrics.Add(metrics.LeaderNotTold, 1) // others are asked at the same time
 		return false
 	}
 	return l.found(leader, "entry", address)
@@ -369,7 +370,7 @@
 		return
 	}
 	if err := cfg.Pool.Submit(func(ctx context.Context) { cfg.Behind(ctx, leader) }); err != nil {
-		cfg.Metrics.Add("config_pulls_refused", 1) // the next report asks again
+		cfg.Metrics.Add(metrics.ConfigPullsRefused, 1) // the next report asks again
 	}
 }
 
@@ -401,7 +402,7 @@
 	n.link.mu.Lock()
 	if !n.link.current(o) {
 		n.link.mu.Unlock()
-		n.cfg.Metrics.Add("orders_outdated", 1)
+		n.cfg.Metrics.Add(metrics.OrdersOutdated, 1)
 		return
 	}
 	w := n.admitOrders(o)
--- a/process/runs/tasks.go
+++ b/process/runs/tasks.go
@@ -92,3 +92,17 @@
 	defer n.link.mu.Unlock()
 	return n.link.session
 }
+
+// Attached reports whether the agent knows a leader that answers.
+func (n *Node) Attached() bool {
+	n.link.mu.Lock()
+	defer n.link.mu.Unlock()
+	return n.link.address != ""
+}
+
+// WorkerAnswers reports whether the worker answers.
+func (n *Node) WorkerAnswers() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.worker.Present
+}
--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -8,6 +8,7 @@
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/placement"
 )
@@ -184,7 +185,9 @@
 // lapse notes that everything at an agent is dead.
 func (t *Table) lapse(now time.Time, a *agentState) {
 	t.cfg.Log.Emit(event.AgentSessionLapsed, "agent", a.id, "session", a.session, "tasks", len(a.runs))
+	t.cfg.Meter.Add(metrics.LeasesLapsed, 1)
 	for _, run := range a.runs {
+		t.measureEnd(now, run, job.EndLapsed)
 		run.task.lapsedRun = max(run.task.lapsedRun, run.number)
 		t.release(run)
 		if !run.stray {
--- a/process/schedule/ends.go
+++ b/process/schedule/ends.go
@@ -6,6 +6,7 @@
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/job"
 )
 
@@ -61,6 +62,7 @@
 	t.logEnd(a, e, "")
 	if run != nil {
 		t.noteHealth(now, a, run, how, e.Early)
+		t.measureEnd(now, run, how)
 	}
 	j := task.step.job()
 	switch {
@@ -192,6 +194,7 @@
 	if run == nil {
 		return
 	}
+	t.cfg.Meter.Add(metrics.StartsRefused, 1)
 	t.release(run)
 	a.heldBack = now.Add(refusalPause)
 	if r.Sick {
--- a/process/schedule/place.go
+++ b/process/schedule/place.go
@@ -337,8 +337,7 @@
 		delete(t.ready, task.step)
 	}
 	t.shares.Charge(task.step.share())
-	t.cfg.Meter.Add("runs_placed", 1)
-	t.cfg.Meter.Observe("queue_wait", now.Sub(task.step.readyAt))
+	t.measurePlaced(now, task)
 	t.cfg.Log.Emit(event.RunPlaced, "task", task.id().String(), "run", number, "agent", a.id,
 		"milli_cpu", task.step.def.Need.MilliCPU, "image", task.step.def.Image, "wait_ms", now.Sub(task.step.readyAt).Milliseconds(), "age_ms", now.Sub(a.reported).Milliseconds(),
 		"workers", len(t.agents), "harm_percent", int(100*harm))
--- a/process/schedule/pressure.go
+++ b/process/schedule/pressure.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/interference"
 )
 
@@ -59,6 +60,7 @@
 			}
 		}
 		a.serving[rows[i].Key] = r
+		t.cfg.Meter.Observe(metrics.ServingTail, time.Duration(r.TailMs)*time.Millisecond)
 		t.pressure.Observe(now, r.Serving, use)
 	}
 }
--- a/process/schedule/quotas.go
+++ b/process/schedule/quotas.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/quota"
 	"camphorhead.example/camphorhead/request/resources"
@@ -102,7 +103,7 @@
 		var victims []quota.Job
 		victims, owed = quota.Victims(owed, need, jobs, free)
 		for _, victim := range victims {
-			t.cfg.Meter.Add("quota_preemptions", 1)
+			t.cfg.Meter.Add(metrics.QuotaPreemptions, 1)
 			t.displace(runs[victim.ID])
 			free[victim.Worker] = free[victim.Worker].Add(victim.Resources)
 			jobs = without(jobs, victim.ID)
--- a/process/schedule/records.go
+++ b/process/schedule/records.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/job"
 )
 
@@ -60,8 +61,8 @@
 	for _, r := range records {
 		r.state.durable = max(r.state.durable, r.version)
 		if r.State.Terminal() {
-			t.cfg.Meter.Add("jobs_"+string(r.State), 1)
-			t.cfg.Meter.Observe("job", r.state.endedAt.Sub(r.state.known))
+			t.cfg.Meter.AddFor(metrics.JobsEnded, string(r.State), 1)
+			t.cfg.Meter.Observe(metrics.JobTime, r.state.endedAt.Sub(r.state.known))
 			t.publish(r.state)
 		}
 	}
--- a/process/schedule/requests.go
+++ b/process/schedule/requests.go
@@ -6,6 +6,7 @@
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/outcome"
 )
@@ -75,7 +76,7 @@
 	saved.Evictions++
 	saved.Checkpoint, task.savedAt = task.checkpoint, now
 	t.touch(j)
-	t.cfg.Meter.Add("evictions_"+string(cause), 1)
+	t.cfg.Meter.AddFor(metrics.Evictions, string(cause), 1)
 	t.cfg.Log.Emit(event.JobEvicted, "job", j.def.ID, "incarnation", run, "cause", cause)
 }
 
--- a/process/schedule/runs.go
+++ b/process/schedule/runs.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/job"
 )
 
@@ -30,7 +31,7 @@
 	run.pace = s.PacePct
 	if run.confirmed.IsZero() {
 		run.confirmed = now
-		t.cfg.Meter.Observe("start_confirmed", now.Sub(run.ordered))
+		t.cfg.Meter.Observe(metrics.StartConfirmed, now.Sub(run.ordered))
 		t.starts.fresh = append(t.starts.fresh, run)
 	}
 	if s.Checkpoint != "" && s.Checkpoint != run.task.checkpoint {
@@ -108,6 +109,7 @@
 	if !j.began {
 		j.began = true
 		t.waiting[j.def.Profile]--
+		t.cfg.Meter.Observe(metrics.JobStart, now.Sub(j.known))
 	}
 	if j.state == job.Accepted {
 		j.state = job.Running
--- a/process/schedule/starts.go
+++ b/process/schedule/starts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/placement"
 )
@@ -160,7 +161,7 @@
 	case early && t.passing(run.task.avoid) == 0:
 		// A task that has failed on workers which pass other starts is broken itself.
 		t.starts.answered++
-		t.cfg.Meter.Add("starts_failed_early", 1)
+		t.cfg.Meter.Add(metrics.StartsFailedEarly, 1)
 		t.setHealth(a, a.health.startFailed(now, t.starts.answered))
 	}
 }
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -20,6 +20,7 @@
 
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/lockrank"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/fairness"
 	"camphorhead.example/camphorhead/request/interference"
 	"camphorhead.example/camphorhead/request/placement"
@@ -28,14 +29,18 @@
 
 // Meter takes counters and durations; a metrics registry is one.
 type Meter interface {
-	Add(name string, delta int64)
-	Observe(name string, d time.Duration)
+	Add(id metrics.ID, delta int64)
+	AddFor(id metrics.ID, label string, delta int64)
+	Observe(id metrics.ID, d time.Duration)
+	ObserveRatio(id metrics.ID, ratio float64)
 }
 
 type noMeter struct{}
 
-func (noMeter) Add(string, int64)             {}
-func (noMeter) Observe(string, time.Duration) {}
+func (noMeter) Add(metrics.ID, int64)             {}
+func (noMeter) AddFor(metrics.ID, string, int64)  {}
+func (noMeter) Observe(metrics.ID, time.Duration) {}
+func (noMeter) ObserveRatio(metrics.ID, float64)  {}
 
 // Config holds the settings of a table.
 type Config struct {
--- a/process/schedule/urgent.go
+++ b/process/schedule/urgent.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/placement"
 )
@@ -83,7 +84,7 @@
 	a.node.Used = a.node.Used.Add(need)
 	for _, victim := range victims {
 		task.claim.victims = append(task.claim.victims, victim.Key)
-		t.cfg.Meter.Add("preemptions", 1)
+		t.cfg.Meter.Add(metrics.Preemptions, 1)
 		t.displace(a.runs[victim.Key])
 	}
 	t.cfg.Log.Emit(event.RoomClaimed, "job", j.def.ID, "agent", a.id, "tasks", len(victims))
