process/schedule: occurrences of an earlier term's job wait for proof as its tasks do

The leader of term 3, cut off from the store, still had agents; the next leader had begun term 4. An occurrence became due: both started it at once. Tasks that exist at the restore wait until agents have reported or their leases are over; those of an occurrence that opens later did not. Ruled out: gangs (the jobs had none), the lease of the agents (kept). Shown: TestDueOccurrenceOfAnEarlierTermWaitsForProof fails without the change.

--- a/process/schedule/jobs.go
+++ b/process/schedule/jobs.go
@@ -127,11 +127,14 @@
 		t.cancel(now, j)
 		return
 	}
-	t.openDue(now, j, unknown)
+	j.earlier = unknown
+	t.openDue(now, j)
 }
 
-// openDue creates the occurrences whose time has come.
-func (t *Table) openDue(now time.Time, j *jobState, unknown bool) {
+// openDue creates the occurrences whose time has come. Those of a job of an earlier
+// term may have been started by the previous leader for as long as agents follow it.
+func (t *Table) openDue(now time.Time, j *jobState) {
+	unknown := j.earlier && len(t.unproven) > 0
 	for len(j.occurrences) < j.def.Runs() {
 		k := len(j.occurrences)
 		if due := j.def.DueMs(k); due > now.UnixMilli() {
--- a/process/schedule/restore_test.go
+++ b/process/schedule/restore_test.go
@@ -217,3 +217,34 @@
 	require.NotContains(t, out.String(), `"job":"old"`)
 	require.NotContains(t, out.String(), `"job":"ended-before"`)
 }
+
+// Guards against two runs of a task of a job that repeats: an occurrence that
+// becomes due while agents may still follow the previous leader, which sees it become
+// due too (hunt of a scratch site with timed jobs, day file cuts, seed 944913362184).
+func TestDueOccurrenceOfAnEarlierTermWaitsForProof(t *testing.T) {
+	b := newBench(t, 2)
+	def := definition("j", checks, 1)
+	def.Occurrences, def.FirstMs, def.EveryMs = 2, b.now().Add(time.Second).UnixMilli(), 60_000
+	dead := b.now().Add(3 * time.Second)
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, map[string]time.Time{"a": dead, "b": dead})
+	b.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b")})
+	b.register()
+	b.clock.Advance(1100 * time.Millisecond)
+	b.report("b", message.Report{})
+	b.tick()
+	require.Empty(t, b.starts(), "agent a may have a run of the occurrence")
+
+	b.clock.Advance(2 * time.Second)
+	b.report("b", message.Report{})
+	b.tick()
+	k, _ := only(t, b.starts())
+	require.Equal(t, key("j", 0, 0, k.Run).Task, k.Task)
+	require.Greater(t, k.Run, uint32(runsPerTerm))
+
+	b.report("b", message.Report{Ends: []message.RunEnd{ended(k, job.EndDone, 1)}})
+	b.clock.Advance(time.Minute)
+	b.report("b", message.Report{})
+	b.tick()
+	k, _ = only(t, b.starts())
+	require.Equal(t, 1, k.Task.Occurrence, "a later occurrence needs no proof")
+}
--- a/process/schedule/state.go
+++ b/process/schedule/state.go
@@ -15,6 +15,8 @@
 	state    job.State
 	// began is set with the first run of the job.
 	began bool
+	// earlier is set for a job that another leader may have started runs of.
+	earlier bool
 	// known is when the leader learned of the job, due when it should be done.
 	known time.Time
 	// baseRun is below every run number that this term assigns.
--- a/process/schedule/tick.go
+++ b/process/schedule/tick.go
@@ -21,7 +21,7 @@
 		}
 	}
 	for j := range t.later {
-		t.openDue(now, j, false)
+		t.openDue(now, j)
 	}
 	if len(t.unproven) > 0 {
 		t.prove(now)
