process/schedule, process/runs: failures before an adopted run count; serials hold for their session

The next leader takes in the full reports one by one. If the one with the latest run comes first, the failure of an earlier run in another report was taken for that of a run that an earlier leader had certainty was dead, and was not counted. That rule (followed) is for ends that are done. Found beside it: an agent compared the session of what is recorded before it marked ends by their serials; a session that began in between gives the serials to other ends, which were dropped unrecorded. Ruled out: the fence of the old leader's writes (conditional on the term), stale reads at the load.

--- a/process/runs/link_test.go
+++ b/process/runs/link_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/request/job"
 )
 
 // Guards against an agent that asks only entries that are gone for the leader:
@@ -65,3 +66,36 @@
 	require.Equal(t, session, l.session)
 	require.False(t, l.found(message.Leader{Term: 2, Address: "127.0.0.1:7"}, "entry", "127.0.0.1:7"))
 }
+
+// Guards against an end that is dropped before it is durable: what the leader has
+// recorded is told by serials of a session, which the next one gives to other ends.
+func TestRecordedBesideANewSession(t *testing.T) {
+	const rounds = 500
+	for i := range rounds {
+		r := newRig(t)
+		l := &r.node.link
+		first, second := runKey("first", 1), runKey("second", 1)
+		r.node.mu.Lock()
+		r.node.ends = []*end{{RunEnd: message.RunEnd{Key: first, How: job.EndDone}}}
+		r.node.mu.Unlock()
+		l.build(r.clock.Now())
+		session := l.session
+		r.node.recorded(1, session)
+		r.node.mu.Lock()
+		r.node.ends = append(r.node.ends, &end{RunEnd: message.RunEnd{Key: second, How: job.EndDone}})
+		r.node.mu.Unlock()
+		var wg sync.WaitGroup
+		wg.Go(func() { r.node.recorded(1, session) })
+		wg.Go(func() {
+			l.mu.Lock()
+			l.begin()
+			l.mu.Unlock()
+			l.build(r.clock.Now())
+		})
+		wg.Wait()
+		r.node.mu.Lock()
+		left := len(r.node.ends)
+		r.node.mu.Unlock()
+		require.Equal(t, 1, left, "round %d: an end that no leader has recorded is dropped", i)
+	}
+}
--- a/process/runs/report.go
+++ b/process/runs/report.go
@@ -72,10 +72,10 @@
 
 // recorded notes the ends up to a serial of a session as durable.
 func (n *Node) recorded(serial, session uint64) {
+	// The serials of a session hold until the next one begins.
 	n.link.mu.Lock()
-	present := n.link.session
-	n.link.mu.Unlock()
-	if session != present || serial == 0 {
+	defer n.link.mu.Unlock()
+	if session != n.link.session || serial == 0 {
 		return
 	}
 	n.mu.Lock()
--- a/process/schedule/ends.go
+++ b/process/schedule/ends.go
@@ -44,7 +44,8 @@
 	if e.Void {
 		how = job.EndLapsed
 	}
-	if run == nil && (e.Key.Run <= task.lapsedRun || task.followed(e.Key.Run) || how != job.EndDone && how != job.EndFailed) {
+	followed := run == nil && task.followed(e.Key.Run)
+	if run == nil && (e.Key.Run <= task.lapsedRun || followed && !countsFollowed(task, how) || how != job.EndDone && how != job.EndFailed) {
 		t.logEnd(a, e, "superseded")
 		return
 	}
@@ -56,7 +57,7 @@
 		return
 	}
 	task.lastRun = max(task.lastRun, e.Key.Run)
-	if e.Checkpoint != "" {
+	if e.Checkpoint != "" && !followed {
 		task.checkpoint = e.Checkpoint
 	}
 	t.logEnd(a, e, "")
@@ -91,6 +92,13 @@
 	return t.run != nil && t.run.number > number && !t.step.def.Speculative
 }
 
+// countsFollowed reports whether an end counts although a later run of the task is
+// active: a failure is an attempt, also one that the previous leader had taken in
+// and not made durable. A request counts its attempts itself.
+func countsFollowed(task *taskState, how job.EndKind) bool {
+	return how == job.EndFailed && task.step.job().def.Request == nil
+}
+
 // causeOf says why a run ended before its task did.
 func causeOf(run *runState, e *message.RunEnd) job.EvictionCause {
 	switch {
--- a/process/schedule/restore_test.go
+++ b/process/schedule/restore_test.go
@@ -248,3 +248,49 @@
 	k, _ = only(t, b.starts())
 	require.Equal(t, 1, k.Task.Occurrence, "a later occurrence needs no proof")
 }
+
+// Guards against a task that is tried more often than its profile allows, because
+// the next leader hears of the latest run before it hears of a failure of an earlier
+// one (hunts of scratch sites, BUDGET seen once each on two days).
+func TestFailureBeforeAnAdoptedRunCounts(t *testing.T) {
+	b := newBench(t, 2)
+	def := definition("j", checks, 1) // three attempts
+	until := b.now().Add(time.Minute)
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, map[string]time.Time{"a": until, "b": until})
+	latest := key("j", 0, 0, 2)
+	b.report("b", message.Report{
+		Session: 1, Full: true, Worker: workerInfo("b"), Running: []message.RunState{{Key: latest, PacePct: fullPace}},
+	})
+	b.report("a", message.Report{
+		Session: 1, Full: true, Worker: workerInfo("a"), Ends: []message.RunEnd{ended(key("j", 0, 0, 1), job.EndFailed, 1)},
+	})
+	b.register()
+	b.report("b", message.Report{Ends: []message.RunEnd{ended(latest, job.EndFailed, 1)}})
+	b.clock.Advance(maxAvoid)
+	b.report("a", message.Report{})
+	b.report("b", message.Report{})
+	b.tick()
+	k, agent := only(t, b.starts())
+	b.report(agent, message.Report{Ends: []message.RunEnd{ended(k, job.EndFailed, 2)}})
+	b.commit()
+	require.Equal(t, job.Failed, b.state("j"), "three attempts have failed")
+}
+
+// Guards against an end that is counted although a leader had certainty that the run
+// was dead, and against the checkpoint of such a run in place of a later one.
+func TestDoneBeforeAnAdoptedRunDoesNotCount(t *testing.T) {
+	b := newBench(t, 2)
+	until := b.now().Add(time.Minute)
+	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checks, 1), Term: 1}}, map[string]time.Time{"a": until, "b": until})
+	latest := key("j", 0, 0, 2)
+	b.report("b", message.Report{
+		Session: 1, Full: true, Worker: workerInfo("b"), Running: []message.RunState{{Key: latest, PacePct: fullPace, Checkpoint: "late"}},
+	})
+	early := ended(key("j", 0, 0, 1), job.EndDone, 1)
+	failed := ended(key("j", 0, 0, 1), job.EndFailed, 2)
+	failed.Checkpoint = "early"
+	b.report("a", message.Report{Session: 1, Full: true, Worker: workerInfo("a"), Ends: []message.RunEnd{early, failed}})
+	b.commit()
+	require.Equal(t, job.Running, b.state("j"))
+	require.Equal(t, "late", b.table.task(latest.Task).checkpoint)
+}
