process/schedule: an agent that the list to be written leaves out gets no more work

The next leader waits for the agents that the store names. The leader had written a list without an agent that had lapsed, was cut off from the store with that write on its way, and the agent came back: until the write is confirmed the agent counted as durably known. Ruled out: the lease of the agent (0.5 s had passed), the agent's report (its end was taken in by the old leader only). Now an agent gets no work from the moment at which a list without it is written, until one with it is confirmed. Shown: TestAgentThatReturnsIsRegisteredAnew fails without.

--- a/process/lead/commits.go
+++ b/process/lead/commits.go
@@ -29,7 +29,7 @@
 	if !spaced && (dirty < backlog || open) {
 		return
 	}
-	_, agentsChanged := l.table.Unregistered()
+	agentsChanged := l.table.Unregistered()
 	if open || beatDue || agentsChanged || dirty > 0 || l.table.Unconfirmed() {
 		l.once(&l.committing, l.write)
 	}
@@ -65,7 +65,7 @@
 }
 
 func (l *leading) plan() (*openBatch, error) {
-	agents, changed := l.table.Unregistered()
+	agents, changed := l.table.TakeAgents()
 	l.mu.Lock()
 	beatRevision, agentsRev := l.mu.beatRevision, l.mu.agentsRev
 	l.mu.Unlock()
--- a/process/schedule/jobs.go
+++ b/process/schedule/jobs.go
@@ -27,6 +27,7 @@
 		t.unproven[agent] = until
 		t.registered[agent] = true
 	}
+	t.listed = len(agents)
 	for _, r := range jobs {
 		t.enter(now, r, len(t.unproven) > 0)
 		if recent(now, r.Definition.AcceptedMs) {
--- a/process/schedule/proof.go
+++ b/process/schedule/proof.go
@@ -54,13 +54,37 @@
 	for _, id := range agents {
 		t.registered[id] = true
 	}
+	t.listed = len(agents)
 }
 
-// Unregistered returns the agents that must be durably known, if that list has
-// changed since the last NoteRegistered.
-func (t *Table) Unregistered() (agents []string, changed bool) {
+// Unregistered reports whether the agents that must be durably known are others than
+// those of the last NoteRegistered.
+func (t *Table) Unregistered() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	_, changed := t.known()
+	return changed
+}
+
+// TakeAgents returns the agents that must be durably known, to be written if that
+// list has changed. Those that it leaves out get no work any more, whatever becomes
+// of the write: the next leader does not wait for agents that the store does not name.
+func (t *Table) TakeAgents() (agents []string, changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	agents, changed = t.known()
+	if changed {
+		for id := range t.registered {
+			if !slices.Contains(agents, id) {
+				delete(t.registered, id)
+			}
+		}
+	}
+	return agents, changed
+}
+
+// known returns the agents that may have runs. The caller holds mu.
+func (t *Table) known() (agents []string, changed bool) {
 	for id := range t.agents {
 		agents = append(agents, id)
 		changed = changed || !t.registered[id]
@@ -71,5 +95,5 @@
 		}
 	}
 	slices.Sort(agents)
-	return agents, changed || len(agents) != len(t.registered)
+	return agents, changed || len(agents) != t.listed
 }
--- a/process/schedule/restore_test.go
+++ b/process/schedule/restore_test.go
@@ -294,3 +294,37 @@
 	require.Equal(t, job.Running, b.state("j"))
 	require.Equal(t, "late", b.table.task(latest.Task).checkpoint)
 }
+
+// Guards against a run that the next leader does not wait for: an agent that comes
+// back while a list without it is on its way to the store (hunt of a scratch site, day
+// file cuts, seed 178953326992).
+func TestAgentThatReturnsIsRegisteredAnew(t *testing.T) {
+	b := newBench(t, 1)
+	b.join("a")
+	b.join("b")
+	b.clock.Advance(2 * testLease)
+	b.report("b", message.Report{})
+	b.tick() // a has lapsed
+	list, changed := b.table.TakeAgents()
+	require.True(t, changed)
+	require.Equal(t, []string{"b"}, list)
+
+	b.report("a", message.Report{Session: 2, Full: true, Worker: workerInfo("a")})
+	def := definition("j", checks, 2)
+	def.Steps[0].Spread = 1
+	b.accept(def)
+	for _, agent := range b.starts() {
+		require.Equal(t, "b", agent, "the store may know a no more")
+	}
+
+	// The write was refused: the store has the list from before, which is not known.
+	list, changed = b.table.TakeAgents()
+	require.True(t, changed)
+	require.Equal(t, []string{"a", "b"}, list)
+	b.table.NoteRegistered(list)
+	b.tick()
+	_, agent := only(t, b.starts())
+	require.Equal(t, "a", agent)
+	_, changed = b.table.TakeAgents()
+	require.False(t, changed)
+}
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -101,8 +101,10 @@
 	changed  []*jobState
 	waiting  map[string]int // jobs that have not begun, by profile
 	told     map[string]int // what the followers were told of waiting
-	// registered are the agents that are durably known to have runs.
+	// registered are the agents that are durably known to have runs, listed the
+	// number of agents that the store is known to name.
 	registered map[string]bool
+	listed     int
 	pressure   *interference.Pressure
 	// sorted are the agents in the order of their ids.
 	sorted []*agentState
--- a/process/schedule/world_test.go
+++ b/process/schedule/world_test.go
@@ -83,7 +83,7 @@
 }
 
 func (b *bench) register() {
-	agents, _ := b.table.Unregistered()
+	agents, _ := b.table.TakeAgents()
 	b.table.NoteRegistered(agents)
 }
 
