--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -318,3 +321,54 @@
 	}
 	assert.GreaterOrEqual(d.t, done, s.job.Steps[0].Count, "job %s: the second step began before the first was done", s.id)
 }
+
+// Guards against requests that a planned stop cuts: a caller whose request was read
+// gets its answer, and the jobs of both answers stay known.
+func TestStopUnderLoadCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	d := deployPlatform(t)
+	const callers = 16
+	stopping, end := d.entries[0], make(chan struct{})
+	var cut, answered atomic.Int64
+	var sending sync.WaitGroup
+	for n := range callers {
+		sending.Go(func() {
+			// A caller with a connection of its own, which it keeps while it can.
+			own := *d.caller
+			own.HTTP = &fasthttp.Client{MaxConnsPerHost: 1, MaxIdemponentCallAttempts: 1}
+			for i := 0; ; i++ {
+				select {
+				case <-end:
+					return
+				default:
+				}
+				id := fmt.Sprintf("%08x%08x", n, i)
+				_, _, err := own.Submit(stopping.settings.Jobs.Listen, id, caller.Job{Input: bodyFor(time.Millisecond, "load"), Steps: oneStep(1)})
+				switch {
+				case err == nil:
+					answered.Add(1)
+				case refusedConnection(err):
+					return // nothing was read
+				default:
+					cut.Add(1)
+					t.Logf("request %s: %v", id, err)
+				}
+			}
+		})
+	}
+	d.eventually(settleBound, "the callers are served", func() bool { return answered.Load() > 10*callers })
+	stopping.ending.Store(true)
+	stopping.signal(t, syscall.SIGTERM)
+	d.eventually(settleBound, "the entry has ended", func() bool { return !stopping.alive() })
+	close(end)
+	sending.Wait()
+	require.Zero(t, cut.Load(), "requests were cut")
+	d.startCore(stopping)
+	d.await("a job after the stop is done", d.submit(0, caller.Job{Input: bodyFor(time.Millisecond, "after"), Steps: oneStep(1)}))
+}
+
+// refusedConnection reports whether a call failed before any of it was read: no
+// connection came about, or an idle one had been closed.
+func refusedConnection(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
