--- a/process/schedule/proof.go
+++ b/process/schedule/proof.go
@@ -62,7 +62,7 @@
 func (t *Table) Unregistered() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, changed := t.known()
+	_, changed := t.knownAgents()
 	return changed
 }
 
@@ -72,7 +72,7 @@
 func (t *Table) TakeAgents() (agents []string, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	agents, changed = t.known()
+	agents, changed = t.knownAgents()
 	if changed {
 		for id := range t.registered {
 			if !slices.Contains(agents, id) {
@@ -83,8 +83,8 @@
 	return agents, changed
 }
 
-// known returns the agents that may have runs. The caller holds mu.
-func (t *Table) known() (agents []string, changed bool) {
+// knownAgents returns the agents that may have runs. The caller holds mu.
+func (t *Table) knownAgents() (agents []string, changed bool) {
 	for id := range t.agents {
 		agents = append(agents, id)
 		changed = changed || !t.registered[id]
