--- a/process/logsink/logsink.go
+++ b/process/logsink/logsink.go
@@ -95,19 +95,14 @@
 
 func (s *Sink) add(line []byte, limit int) {
 	s.mu.Lock()
-	fits := s.full.Len()+len(line) <= limit
-	if fits {
+	if s.full.Len()+len(line) <= limit {
 		s.full.Write(line)
+	} else {
+		s.dropped[s.cfg.EventOf(line)]++
+		s.total.Add(1)
 	}
 	much := s.full.Len() >= flushBytes
 	s.mu.Unlock()
-	if !fits {
-		s.total.Add(1)
-		name := s.cfg.EventOf(line)
-		s.mu.Lock()
-		s.dropped[name]++
-		s.mu.Unlock()
-	}
 	if much {
 		select {
 		case s.wake <- struct{}{}:
