--- a/cmd/camphorheadctl/follow.go
+++ b/cmd/camphorheadctl/follow.go
@@ -18,7 +18,7 @@
 
 func (a *app) addFollow(parent *flags.Command) error {
 	_, err := parent.AddCommand("follow", "tell from logs how far every accepted job can be followed",
-		"Counts the accepted jobs by what became of them and lists those that the logs do not tell the end of. Fails if a job is lost or silent.",
+		"Counts the accepted jobs by what became of them and lists those that the logs do not tell the end of. Fails if a job is lost or unfinished.",
 		&followCommand{app: a})
 	return err
 }
@@ -43,29 +43,29 @@
 	} else {
 		c.print(jobs)
 	}
-	untold := 0
+	unresolved := 0
 	for _, j := range jobs {
-		if j.Fate == story.Lost || j.Fate == story.Silent {
-			untold++
+		if j.Outcome == story.Lost || j.Outcome == story.Unfinished {
+			unresolved++
 		}
 	}
-	if untold > 0 {
-		return fmt.Errorf("%d of %d accepted jobs cannot be followed", untold, len(jobs))
+	if unresolved > 0 {
+		return fmt.Errorf("%d of %d accepted jobs cannot be followed", unresolved, len(jobs))
 	}
 	return nil
 }
 
 func (c *followCommand) print(jobs []story.Followed) {
-	counts := map[story.Fate]int{}
+	counts := map[story.Outcome]int{}
 	for _, j := range jobs {
-		counts[j.Fate]++
+		counts[j.Outcome]++
 	}
-	for _, fate := range story.Fates() {
-		fmt.Fprintf(c.app.out, "%-10s %d\n", fate, counts[fate])
+	for _, outcome := range story.Outcomes() {
+		fmt.Fprintf(c.app.out, "%-10s %d\n", outcome, counts[outcome])
 	}
 	for _, j := range jobs {
-		if j.Fate == story.Waiting || j.Fate == story.Lost || j.Fate == story.Silent {
-			fmt.Fprintf(c.app.out, "%s %s accepted=%s runs=%d last=%s\n", j.Job, j.Fate, j.Accepted.Format("15:04:05.000"), j.Runs, j.Last)
+		if j.Outcome == story.Waiting || j.Outcome == story.Lost || j.Outcome == story.Unfinished {
+			fmt.Fprintf(c.app.out, "%s %s accepted=%s runs=%d last=%s\n", j.Job, j.Outcome, j.Accepted.Format("15:04:05.000"), j.Runs, j.Last)
 		}
 	}
 }
--- a/cmd/camphorheadctl/story/follow.go
+++ b/cmd/camphorheadctl/story/follow.go
@@ -7,33 +7,35 @@
 	"time"
 )
 
-// Fate is how far the logs tell what became of an accepted job.
-type Fate string
+// Outcome is how far the logs tell what became of an accepted job.
+type Outcome string
 
-// The fates of a job. One that is lost or silent cannot be followed to its end.
+// The outcomes of a job. One that is lost or unfinished cannot be followed to its end.
 const (
 	// Done, Failed and Cancelled jobs have a line for their end.
-	Done      Fate = "done"
-	Failed    Fate = "failed"
-	Cancelled Fate = "cancelled"
+	Done      Outcome = "done"
+	Failed    Outcome = "failed"
+	Cancelled Outcome = "cancelled"
 	// Running jobs have a run that has not ended.
-	Running Fate = "running"
+	Running Outcome = "running"
 	// Waiting jobs have no run; a leader knows of them.
-	Waiting Fate = "waiting"
+	Waiting Outcome = "waiting"
 	// Lost jobs were accepted, and no leader has written that it knows of them.
-	Lost Fate = "lost"
-	// Silent jobs have had runs that all ended, and no line for their own end.
-	Silent Fate = "silent"
+	Lost Outcome = "lost"
+	// Unfinished jobs have had runs that all ended, and no line for their own end.
+	Unfinished Outcome = "unfinished"
 )
 
-// Fates returns all fates.
-func Fates() []Fate { return []Fate{Done, Failed, Cancelled, Running, Waiting, Lost, Silent} }
+// Outcomes returns all outcomes.
+func Outcomes() []Outcome {
+	return []Outcome{Done, Failed, Cancelled, Running, Waiting, Lost, Unfinished}
+}
 
 // Followed is one accepted job.
 type Followed struct {
 	Job      string    `json:"job"`
 	Accepted time.Time `json:"accepted"`
-	Fate     Fate      `json:"fate"`
+	Outcome  Outcome   `json:"outcome"`
 	Runs     int       `json:"runs"`
 	// Last is the name of the job's last line.
 	Last string `json:"last"`
@@ -61,7 +63,7 @@
 	var list []Followed
 	for _, t := range traces {
 		if !t.accepted.IsZero() {
-			list = append(list, Followed{Job: t.job, Accepted: t.accepted, Fate: t.fate(), Runs: t.runs, Last: t.last})
+			list = append(list, Followed{Job: t.job, Accepted: t.accepted, Outcome: t.outcome(), Runs: t.runs, Last: t.last})
 		}
 	}
 	slices.SortFunc(list, func(a, b Followed) int {
@@ -87,7 +89,7 @@
 	known    bool
 	runs     int
 	alive    map[runKey]bool
-	ended    Fate
+	ended    Outcome
 	last     string
 }
 
@@ -111,7 +113,7 @@
 		}
 	case "job_finished":
 		state, _ := l.Fields["state"].(string)
-		t.ended = Fate(state)
+		t.ended = Outcome(state)
 	}
 }
 
@@ -121,14 +123,14 @@
 	}
 }
 
-func (t *trace) fate() Fate {
+func (t *trace) outcome() Outcome {
 	switch {
 	case t.ended != "":
 		return t.ended
 	case len(t.alive) > 0:
 		return Running
 	case t.runs > 0:
-		return Silent
+		return Unfinished
 	case t.known:
 		return Waiting
 	}
--- a/cmd/camphorheadctl/story/story_test.go
+++ b/cmd/camphorheadctl/story/story_test.go
@@ -55,16 +55,16 @@
 		event(2, "entry-1", "job_finished", `,"job":"done","state":"done"`) +
 		accepted(1.2, "running") + placed(1.3, "running.0.0.0") +
 		accepted(1.4, "waiting") + event(1.5, "entry-2", "job_queued", `,"job":"waiting"`) +
-		accepted(1.6, "silent") + placed(1.7, "silent.0.0.0") + ended(1.8, "silent.0.0.0") +
+		accepted(1.6, "unfinished") + placed(1.7, "unfinished.0.0.0") + ended(1.8, "unfinished.0.0.0") +
 		accepted(1.9, "lost") +
 		event(2, "entry-1", "job_refused", `,"job":"refused"`)
 	lines, _, err := Read(strings.NewReader(log))
 	require.NoError(t, err)
-	fates := map[string]Fate{}
+	outcomes := map[string]Outcome{}
 	for _, f := range Follow(lines) {
-		fates[f.Job] = f.Fate
+		outcomes[f.Job] = f.Outcome
 	}
-	require.Equal(t, map[string]Fate{
-		"done": Done, "running": Running, "waiting": Waiting, "silent": Silent, "lost": Lost,
-	}, fates)
+	require.Equal(t, map[string]Outcome{
+		"done": Done, "running": Running, "waiting": Waiting, "unfinished": Unfinished, "lost": Lost,
+	}, outcomes)
 }
--- a/integration/deployment_test.go
+++ b/integration/deployment_test.go
@@ -99,6 +99,16 @@
 
 // deploy starts a deployment and waits until it serves all profiles.
 func deploy(t *testing.T) *deployment {
+	t.Helper()
+	d := newDeployment(t)
+	d.startAll()
+	d.createProfiles()
+	d.awaitReady()
+	return d
+}
+
+// newDeployment plans a deployment, of which only the store runs.
+func newDeployment(t *testing.T) *deployment {
 	t.Helper()
 	deploymentTokens <- struct{}{}
 	t.Cleanup(func() { <-deploymentTokens })
@@ -108,6 +118,11 @@
 	}
 	d.startStore()
 	d.plan()
+	return d
+}
+
+// startAll starts all processes but the store.
+func (d *deployment) startAll() {
 	for _, c := range d.entries {
 		d.startCore(c)
 	}
@@ -115,10 +130,7 @@
 		d.startPlatform(h)
 		d.startCore(h.agent)
 	}
-	t.Cleanup(d.inspect)
-	d.createProfiles()
-	d.awaitReady()
-	return d
+	d.t.Cleanup(d.inspect)
 }
 
 // logFolder returns the folder for the logs and settings files of a test.
--- a/integration/pairs_test.go
+++ b/integration/pairs_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -133,19 +134,36 @@
 // Guards the invariants under two faults at once: whatever overlaps, accepted
 // work is neither lost nor run twice, and service returns to normal.
 func TestPairs(t *testing.T) {
-	seeds := pairSeeds
-	for i := range *seedCount {
-		seeds = append(seeds, *firstSeed+i)
-	}
-	for _, seed := range seeds {
-		rng := rand.New(rand.NewPCG(seed, 0))
-		pair := schedule(rng)
+	runSeeds(t, seedRange{pairSeeds, *firstSeed, *seedCount, 0}, schedule, func(t *testing.T, _ uint64, faults []scheduledFault, rng *rand.Rand) {
+		deploy(t).runFaults(faults, rng)
+	})
+}
+
+// seedRange are the seeds that run always and count further ones. stream sets the
+// random numbers of one test apart from those of another with the same seeds.
+type seedRange struct {
+	fixed        []uint64
+	first, count uint64
+	stream       uint64
+}
+
+// runSeeds runs a test for each seed with the schedule of faults that follows from it.
+func runSeeds(t *testing.T, seeds seedRange, schedule func(*rand.Rand) []scheduledFault,
+	run func(t *testing.T, seed uint64, faults []scheduledFault, rng *rand.Rand),
+) {
+	list := slices.Clone(seeds.fixed)
+	for i := range seeds.count {
+		list = append(list, seeds.first+i)
+	}
+	for _, seed := range list {
+		rng := rand.New(rand.NewPCG(seed, seeds.stream))
+		faults := schedule(rng)
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
-			for _, f := range pair {
+			for _, f := range faults {
 				t.Logf("seed %d: %s from %s to %s", seed, f.name, f.at, f.until)
 			}
-			deploy(t).runFaults(pair, rng)
+			run(t, seed, faults, rng)
 		})
 	}
 }
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -55,25 +55,11 @@
 // speak the platform's protocol, and waits until it serves.
 func deployPlatform(t *testing.T) *platformDeployment {
 	t.Helper()
-	deploymentTokens <- struct{}{}
-	t.Cleanup(func() { <-deploymentTokens })
-	d := &platformDeployment{deployment: &deployment{
-		t: t, dir: logFolder(t), links: map[linkKey]*link{}, server: newProxyServer(),
-		http: &fasthttp.Client{MaxConnsPerHost: 1024}, calls: &callLog{},
-	}}
+	d := &platformDeployment{deployment: newDeployment(t)}
 	d.caller = &caller.Caller{HTTP: d.http, Route: testRoute, Wait: 3 * time.Second}
-	d.startStore()
-	d.plan()
 	d.speakPlatform()
 	d.configure()
-	for _, c := range d.entries {
-		d.startCore(c)
-	}
-	for _, h := range d.hosts {
-		d.startPlatform(h)
-		d.startCore(h.agent)
-	}
-	t.Cleanup(d.inspect)
+	d.startAll()
 	for entry := range d.entries {
 		d.await("a first job is done", d.submit(entry, caller.Job{Input: bodyFor(10*time.Millisecond, "first"), Steps: oneStep(1)}))
 	}
@@ -235,33 +221,21 @@
 // overlap: jobs with steps, occurrences and tasks that last are handed in, asked for
 // and cancelled in the platform's protocol, and run at workers that speak it.
 func TestPlatformSoak(t *testing.T) {
-	seeds := platformSeeds
-	for i := range *platformCount {
-		seeds = append(seeds, *firstPlatform+i)
-	}
-	for _, seed := range seeds {
-		rng := rand.New(rand.NewPCG(seed, 2))
-		faults := soakSchedule(rng)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			for _, f := range faults {
-				t.Logf("seed %d: %s from %s to %s", seed, f.name, f.at, f.until)
-			}
-			d := deployPlatform(t)
-			stop := d.load(rand.New(rand.NewPCG(seed, 3)))
-			d.inject(faults, rng)
-			stop()
-			for entry := range d.entries {
-				d.await("a job after the faults is done", d.submit(entry, caller.Job{Input: bodyFor(10*time.Millisecond, "last"), Steps: oneStep(1)}))
-			}
-			for _, s := range d.jobs {
-				if s.accepted && !s.asked {
-					d.await("an accepted job is done", s)
-				}
+	runSeeds(t, seedRange{platformSeeds, *firstPlatform, *platformCount, 2}, soakSchedule, func(t *testing.T, seed uint64, faults []scheduledFault, rng *rand.Rand) {
+		d := deployPlatform(t)
+		stop := d.load(rand.New(rand.NewPCG(seed, 3)))
+		d.inject(faults, rng)
+		stop()
+		for entry := range d.entries {
+			d.await("a job after the faults is done", d.submit(entry, caller.Job{Input: bodyFor(10*time.Millisecond, "last"), Steps: oneStep(1)}))
+		}
+		for _, s := range d.jobs {
+			if s.accepted && !s.asked {
+				d.await("an accepted job is done", s)
 			}
-			d.verify()
-		})
-	}
+		}
+		d.verify()
+	})
 }
 
 // verify checks the runs at all workers: no task ran twice at once or again after it
@@ -336,6 +310,7 @@
 	const callers = 16
 	stopping, end := d.entries[0], make(chan struct{})
 	var cut, answered atomic.Int64
+	var stopped atomic.Bool
 	var sending sync.WaitGroup
 	for n := range callers {
 		sending.Go(func() {
@@ -353,9 +328,7 @@
 				switch {
 				case err == nil:
 					answered.Add(1)
-				case refusedConnection(err):
-					return // nothing was read
-				case time.Since(sent) < lossSlack:
+				case stopped.Load() && (refusedConnection(err) || time.Since(sent) < lossSlack):
 					return
 				default:
 					cut.Add(1)
@@ -366,6 +339,7 @@
 	}
 	d.eventually(settleBound, "the callers are served", func() bool { return answered.Load() > 10*callers })
 	stopping.ending.Store(true)
+	stopped.Store(true)
 	stopping.signal(t, syscall.SIGTERM)
 	d.eventually(settleBound, "the entry has ended", func() bool { return !stopping.alive() })
 	close(end)
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"testing"
@@ -97,19 +96,7 @@
 // silenced and cut one way, while callers send checks and jobs. What callers were
 // told is compared with what workers and targets have run.
 func TestSoak(t *testing.T) {
-	seeds := soakSeeds
-	for i := range *soakCount {
-		seeds = append(seeds, *firstSoak+i)
-	}
-	for _, seed := range seeds {
-		rng := rand.New(rand.NewPCG(seed, 1))
-		faults := soakSchedule(rng)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			for _, f := range faults {
-				t.Logf("seed %d: %s from %s to %s", seed, f.name, f.at, f.until)
-			}
-			deploy(t).runFaults(faults, rng)
-		})
-	}
+	runSeeds(t, seedRange{soakSeeds, *firstSoak, *soakCount, 1}, soakSchedule, func(t *testing.T, _ uint64, faults []scheduledFault, rng *rand.Rand) {
+		deploy(t).runFaults(faults, rng)
+	})
 }
