process/runs: log runs that reappear after they were given up

No decision changes. TestReappearedRunIsLogged covers the event, its counter and the bound; it did not compile on the code before.

--- a/process/event/catalogue.go
+++ b/process/event/catalogue.go
@@ -101,8 +101,8 @@
 	{TaskStarted, "task_started", Debug, "worker has started a task", withUnits("job incarnation agent profile task run elapsed_ms"), noAction},
 	{RunPlaced, "run_placed", Info, "run of a task is ordered at an agent", withUnits("task run agent milli_cpu image wait_ms age_ms workers harm_percent"), noAction},
 	{RunEnded, "run_ended", Info, "run of a task has ended", withUnits("task run agent state void cause"), noAction},
-	{RunRefused, "run_refused", Info, "run of a task was refused and has not started", withUnits("task run agent reason"), "If it repeats for one worker, compare its reported capacity with the tasks that run there."},
-	{TaskRunEnded, "task_run_ended", Info, "worker lists the end of a run", withUnits("task run state void cause"), noAction},
+	{RunRefused, "run_refused", Info, "run of a task was refused and has not started", withUnits("task run agent reason unanswered"), "If it repeats for one worker, compare its reported capacity with the tasks that run there."},
+	{TaskRunEnded, "task_run_ended", Info, "worker lists the end of a run", withUnits("task run state void cause lease_ms silent_ms age_ms pending_calls"), noAction},
 	{StartUnanswered, "start_unanswered", Info, "start had no response and is repeated with a higher token", withUnits("task run"), "If it repeats, check the worker."},
 	{StopNotAccepted, "stop_not_taken", Info, "stop was not accepted by the worker and is repeated", withUnits("task run error"), "If it repeats, check the worker."},
 	{WorkerAnnounced, "worker_announced", Info, "worker has announced itself", withUnits("worker service state remaining_ms"), noAction},
@@ -116,6 +116,7 @@
 	{CapacityReserved, "room_claimed", Info, "runs are preempted to reserve capacity for urgent work", withUnits("job agent tasks"), noAction},
 	{AdviceGiven, "advice_given", Info, "policy service has decided which workers may run a step", withUnits("job workers tickets elapsed_ms"), noAction},
 	{AdviceMissing, "advice_missing", Error, "policy service did not respond", withUnits("job workers error"), "Check the policy service. Steps of profiles that need its decision wait."},
+	{RunReappeared, "run_reappeared", Error, "worker lists a run that the agent has reported as ended or refused", withUnits("task run cause age_ms"), "The task may have run twice; report it with the log of the agent."},
 }
 
 var operatorEvents = []Definition{
--- a/process/event/id.go
+++ b/process/event/id.go
@@ -115,6 +115,7 @@
 	CapacityReserved
 	AdviceGiven
 	AdviceMissing
+	RunReappeared
 )
 
 // Operators: 8000 to 8999.
--- a/process/metrics/catalogue.go
+++ b/process/metrics/catalogue.go
@@ -73,6 +73,7 @@
 	WorkerStart
 	StartsUnanswered
 	StartsRejected
+	RunsReappeared
 	WorkerCallsRefused
 	OrdersOutdated
 	LeaderQueriesFailed
@@ -140,6 +141,7 @@
 	WorkerStart:          {"worker_start", Histogram, "seconds", "", "Response time of the worker to starts."},
 	StartsUnanswered:     {"starts_unanswered", Counter, "", "", "Starts without a response, after which the fencing token was raised."},
 	StartsRejected:       {"starts_rejected", Counter, "", "reason", "Starts that this agent or its worker has rejected, by reason."},
+	RunsReappeared:       {"runs_reappeared", Counter, "", "", "Runs that this agent had reported as ended or refused and that its worker listed later."},
 	WorkerCallsRefused:   {"worker_calls_refused", Counter, "", "", "Calls that were refused because the queue for the worker was full."},
 	OrdersOutdated:       {"orders_outdated", Counter, "", "", "Orders of an earlier session, which were ignored."},
 	LeaderQueriesFailed:  {"leader_not_told", Counter, "", "", "Queries for the leader that failed at an entry."},
--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -43,14 +43,16 @@
 // and reports that. unhealthy: the worker refused it because it is unhealthy.
 func (n *Node) refuse(r *run, reason string, unhealthy bool) {
 	n.mu.Lock()
+	unanswered := !r.noResponseAt.IsZero()
 	if n.runs[r.order.Key] == r {
 		n.removeRun(r.order.Key)
+		n.givenUp.add(n.cfg.Clock.Now(), r.order.Key, "refused: "+reason)
 		n.refused = append(n.refused, message.RunRefusal{Key: r.order.Key, Reason: reason, Unhealthy: unhealthy})
 		n.unreportedChange = true
 	}
 	n.mu.Unlock()
 	n.cfg.Metrics.AddFor(metrics.StartsRejected, reason, 1)
-	n.cfg.Log.Emit(event.RunRefused, "task", r.order.Key.Task.String(), "run", r.order.Key.Run, "reason", reason)
+	n.cfg.Log.Emit(event.RunRefused, "task", r.order.Key.Task.String(), "run", r.order.Key.Run, "reason", reason, "unanswered", unanswered)
 	n.leader.triggerReport()
 }
 
@@ -132,6 +134,9 @@
 		// The lease of an unresponsive worker is not extended, as in holdRequest.
 		req.LeaseUntilMs, leaseEnd = 0, time.Time{}
 	}
+	if req.LeaseUntilMs != 0 {
+		n.leaseCalls++
+	}
 	return req, leaseEnd, true
 }
 
--- a/process/runs/node.go
+++ b/process/runs/node.go
@@ -108,6 +108,7 @@
 	// grantEnd is the end of the leader's grant, workerLeaseEnd the latest lease end that a
 	// call has requested from the worker; both by the agent's clock.
 	grantEnd, workerLeaseEnd time.Time
+	leaseCalls               int  // polls and starts in flight
 	unresponsive             bool // the latest poll had no response
 	// listedAt is when the latest listing arrived, polledAt when its poll was sent; zero: none.
 	listedAt, polledAt time.Time
@@ -119,6 +120,7 @@
 	reportedEnds     int
 	lastRecorded     uint64               // worker's number of the latest recorded end of the current instance
 	refused          []message.RunRefusal // not yet reported
+	givenUp          givenUpRuns          // runs whose end the worker has not listed
 	inputs           map[string][]byte    // by job
 	plannedStop      bool                 // a planned stop covers the worker; starts are refused
 	reportedWorker   message.WorkerInfo
@@ -172,7 +174,7 @@
 // that they exceed those of earlier processes.
 func New(cfg Config) *Node {
 	n := &Node{
-		cfg: cfg, mu: lockrank.NewMutex(lockrank.RankTasks), runs: map[job.RunKey]*run{},
+		cfg: cfg, mu: lockrank.NewMutex(lockrank.RankTasks), runs: map[job.RunKey]*run{}, givenUp: givenUpRuns{},
 		inputs: map[string][]byte{}, token: cfg.Clock.Now().UnixMilli() + tokenStep,
 	}
 	n.leader = newLeaderClient(n)
--- a/process/runs/runs_test.go
+++ b/process/runs/runs_test.go
@@ -1,12 +1,16 @@
 package runs
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/request/job"
 )
@@ -390,3 +394,27 @@
 	defer n.mu.Unlock()
 	return n.runs[key]
 }
+
+// Guards against a run that the agent gives up and that runs nevertheless without a trace in the
+// log, and against a record of such runs that grows without bound.
+func TestReappearedRunIsLogged(t *testing.T) {
+	r := newRig(t)
+	var log bytes.Buffer
+	r.node.cfg.Log, _ = event.New(&log, "json", "info")
+	k := runKey("j", 1)
+	r.node.mu.Lock()
+	for i := range uint32(2 * maxGivenUpRuns) {
+		r.node.givenUp.add(r.clock.Now(), runKey("other", i), "lease expired")
+	}
+	r.node.givenUp.add(r.clock.Now(), k, "refused: no reason")
+	require.Len(t, r.node.givenUp, maxGivenUpRuns)
+	r.node.mu.Unlock()
+	r.clock.Advance(time.Second)
+	r.worker.mu.Lock()
+	r.worker.running[k] = platform.RunningTask{RunKey: k}
+	r.worker.mu.Unlock()
+	r.poll(r.node)
+	r.poll(r.node)
+	require.Equal(t, 1, strings.Count(log.String(), `"name":"run_reappeared","task":"j.0.0.0","run":1,"cause":"refused: no reason","age_ms":1000`), log.String())
+	require.Equal(t, int64(1), r.node.cfg.Metrics.Value(metrics.RunsReappeared))
+}
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -7,6 +7,7 @@
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/request/job"
 )
@@ -64,6 +65,7 @@
 func (n *Node) holdRequest(now time.Time) (req platform.HoldRequest, leaseEnd time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.leaseCalls++
 	req = platform.HoldRequest{Token: n.token, Wait: maxPollWait, Instance: n.instance, Recorded: n.lastRecorded}
 	if !n.unresponsive {
 		req.LeaseUntilMs, leaseEnd = n.leaseUntil(now)
@@ -94,6 +96,7 @@
 func (n *Node) advanceWorkerLease(end time.Time, err error) (previous time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.leaseCalls--
 	previous = n.workerLeaseEnd
 	if !errors.Is(err, platform.ErrUnavailable) && end.After(n.workerLeaseEnd) {
 		n.workerLeaseEnd = end
@@ -156,7 +159,7 @@
 		if !listed[key] && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
 			// A run that was confirmed before the poll and is neither running nor
 			// among the ends has ended with an earlier worker instance.
-			n.conclude(r, job.EndLeaseExpired, "")
+			n.conclude(now, r, "not listed", "")
 		}
 	}
 	changed := n.unreportedChange
@@ -231,6 +234,11 @@
 		r.state.PacePct = fullPace
 		n.runs[t.RunKey] = r
 		unknown = true
+		if g, ok := n.givenUp[t.RunKey]; ok {
+			delete(n.givenUp, t.RunKey)
+			n.cfg.Metrics.Add(metrics.RunsReappeared, 1)
+			n.cfg.Log.Emit(event.RunReappeared, "task", t.Task.String(), "run", t.Run, "cause", g.cause, "age_ms", now.Sub(g.at).Milliseconds())
+		}
 	}
 	if r.confirmedAt.IsZero() {
 		r.confirmedAt = now
@@ -283,16 +291,18 @@
 }
 
 // conclude removes a run that the worker will no longer list and adds an end for it, with its
-// last known checkpoint. The caller holds mu.
-func (n *Node) conclude(r *run, how job.EndKind, text string) {
+// last known checkpoint. cause is for the log. The caller holds mu.
+func (n *Node) conclude(now time.Time, r *run, cause, text string) {
 	n.ends = append(n.ends, &pendingEnd{
-		RunEnd:          message.RunEnd{Key: r.order.Key, How: how, Checkpoint: r.state.Checkpoint, Message: text},
+		RunEnd:          message.RunEnd{Key: r.order.Key, How: job.EndLeaseExpired, Checkpoint: r.state.Checkpoint, Message: text},
 		instanceStartMs: n.instanceStartMs,
 	})
 	n.removeRun(r.order.Key)
+	n.givenUp.add(now, r.order.Key, cause)
 	n.unreportedChange = true
 	n.cfg.Log.Emit(event.TaskRunEnded, "task", r.order.Key.Task.String(), "run", r.order.Key.Run,
-		"state", how.String(), "cause", "concluded")
+		"state", job.EndLeaseExpired.String(), "cause", "concluded: "+cause, "lease_ms", -elapsedMs(now, n.workerLeaseEnd),
+		"silent_ms", elapsedMs(now, n.listedAt), "age_ms", elapsedMs(now, r.startedAt), "pending_calls", n.leaseCalls)
 }
 
 // removeRun removes a run and releases its capacity in the ledger. The caller holds mu.
@@ -311,7 +321,7 @@
 			if !r.noResponseAt.IsZero() && now.Sub(r.noResponseAt) < lateStartWindow {
 				continue // the next worker instance may still execute a copy of its start
 			}
-			n.conclude(r, job.EndLeaseExpired, "the worker did not answer until its lease was over")
+			n.conclude(now, r, "lease expired", "the worker did not answer until its lease was over")
 			ended++
 		}
 	}
