--- a/process/event/catalogue.go
+++ b/process/event/catalogue.go
@@ -52,15 +52,17 @@
 
 var membershipEvents = []Definition{
 	{AgentJoined, "agent_joined", Info, "agent joined", withUnits("agent session address"), noAction},
-	{AgentSessionExpired, "agent_session_lapsed", Error, "session of an agent has expired", withUnits("agent session tasks"), "Check the host. Its tasks resume on other workers."},
+	{AgentSessionExpired, "agent_session_lapsed", Error, "session of an agent has expired", withUnits("agent session tasks age_ms source"), "Check the host. Its tasks resume on other workers. age_ms is the age of its last report; source is what confirmed the term after the lease: store or followers."},
 	{LeaderKnown, "leader_known", Info, "leader is known", withUnits("term entry address source"), noAction},
-	{TermBegun, "term_begun", Info, "this entry has become the leader", withUnits("term jobs unproven"), noAction},
+	{TermBegun, "term_begun", Info, "this entry has become the leader", withUnits("term jobs unproven wait_ms reason"), "wait_ms is how long this leader waits for agents that have not reported and may have runs; reason is why."},
 	{TermNotBegun, "term_not_begun", Info, "this entry could not begin a term", withUnits("term error"), "If no entry leads, check the store."},
 	{TermEnded, "term_ended", Info, "this entry is no longer the leader", withUnits("term reason"), noAction},
 	{OrdersNotSent, "orders_not_sent", Info, "orders could not be sent; the agent's next full report resolves them", withUnits("agent session tasks error"), noAction},
 	{LeaderLost, "leader_lost", Info, "leader does not respond or no longer leads", withUnits("address reason"), "If no leader is found soon after, check the entries and the store."},
 	{SessionRenewed, "session_renewed", Info, "agent begins a new session with the leader", withUnits("reason"), noAction},
 	{TermResigned, "term_resigned", Error, "this entry reaches too few agents and resigns the term", withUnits("term agents known"), "Check the network around this entry."},
+	{RunConflicting, "run_conflicting", Error, "agent lists a run of a task that has another run", withUnits("task run agent other_run other_agent"), "The listed run is stopped if it is not the newer one of one agent. If it was alive, two runs of the task overlapped: report it as a bug in camphorhead, with the events of both agents and of the leaders before it."},
+	{EarlierLeasesLimited, "earlier_leases_limited", Info, "wait for agents of earlier terms is shortened", withUnits("term wait_ms reason"), noAction},
 }
 
 var configurationEvents = []Definition{
--- a/process/event/field.go
+++ b/process/event/field.go
@@ -33,6 +33,8 @@
 	"milli_cpu":        "milli-processors",
 	"operation":        "text",
 	"operator":         "id",
+	"other_agent":      "id",
+	"other_run":        "count",
 	"outage_ms":        "ms",
 	"peer":             "id",
 	"pending_calls":    "count",
--- a/process/event/id.go
+++ b/process/event/id.go
@@ -44,6 +44,8 @@
 	LeaderLost
 	SessionRenewed
 	TermResigned
+	RunConflicting
+	EarlierLeasesLimited
 )
 
 // Configuration: 4000 to 4999.
--- a/process/lead/commits.go
+++ b/process/lead/commits.go
@@ -11,6 +11,7 @@
 	"camphorhead.example/camphorhead/process/jobstore"
 	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
+	"camphorhead.example/camphorhead/process/schedule"
 	"camphorhead.example/camphorhead/process/term"
 )
 
@@ -118,7 +119,7 @@
 // because the store confirmed the term then or later. A resignation ends the term.
 func (l *leaderTerm) commitSucceeded(sent time.Time, pending *pendingBatch) {
 	l.table.MarkCommitted(pending.batch.Records)
-	l.table.ConfirmTerm(sent)
+	l.table.ConfirmTerm(sent, schedule.ConfirmedByStore)
 	if pending.agents != nil {
 		l.table.SetRegistered(pending.agents)
 	}
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -133,16 +133,24 @@
 	l.mu.inboxRevision, l.mu.agentsRevision = revision, kv.Revision
 	unfinished, ended := jobstore.ConvertLoaded(jobs)
 	now := l.node.cfg.Clock.Now()
-	leaseEnd := now.Add(l.node.cfg.Timing.Outage + l.node.cfg.Timing.Lease)
+	leaseEnd, reason := now.Add(l.node.cfg.Timing.Outage+l.node.cfg.Timing.Lease), "an earlier leader may still grant leases"
 	if l.mu.previous.Holder.ID == l.node.cfg.Self().ID {
-		leaseEnd = now.Add(l.node.cfg.Timing.Lease) // the previous leader was a process of this entry and grants nothing any more
+		leaseEnd, reason = now.Add(l.node.cfg.Timing.Lease), "this entry held the previous term"
 	}
+	until := schedule.SafeLeaseEnd(leaseEnd, l.node.cfg.Timing.Lease)
 	unconfirmed := make(map[string]time.Time, len(agents))
 	for _, id := range agents {
-		unconfirmed[id] = schedule.SafeLeaseEnd(leaseEnd, l.node.cfg.Timing.Lease)
+		unconfirmed[id] = until
 	}
 	l.table.Restore(now, unfinished, unconfirmed)
 	l.table.RestoreEnded(ended)
+	wait := time.Duration(0)
+	if len(agents) > 0 {
+		wait = until.Sub(now)
+	}
+	load := l.table.Load()
+	l.node.cfg.Log.Emit(event.TermBegun, "term", l.number, "jobs", load.Jobs, "unproven", load.UnconfirmedAgents,
+		"wait_ms", wait.Milliseconds(), "reason", reason)
 	return nil
 }
 
@@ -150,7 +158,11 @@
 // leases any more: those leases end at most Timing.Lease from now.
 func (l *leaderTerm) shortenLeases() {
 	now := l.node.cfg.Clock.Now()
-	l.table.LimitPreviousLeases(schedule.SafeLeaseEnd(now.Add(l.node.cfg.Timing.Lease), l.node.cfg.Timing.Lease))
+	until := schedule.SafeLeaseEnd(now.Add(l.node.cfg.Timing.Lease), l.node.cfg.Timing.Lease)
+	if l.table.LimitPreviousLeases(until) {
+		l.node.cfg.Log.Emit(event.EarlierLeasesLimited, "term", l.number, "wait_ms", until.Sub(now).Milliseconds(),
+			"reason", "the holder of the previous term follows")
+	}
 }
 
 const loadCallTimeouts = 5 // time limit of load, in units of Timing.CallTimeout
@@ -214,7 +226,7 @@
 		}
 	}
 	l.mu.Unlock()
-	l.table.ConfirmTerm(confirmedAt)
+	l.table.ConfirmTerm(confirmedAt, schedule.ConfirmedByFollowers)
 }
 
 // hasActiveFollower reports whether a follower sent anything within 2/3 of the leader timeout.
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -366,8 +366,6 @@
 		return // another entry, or this one, begins the next term
 	}
 	l.loaded.Store(true)
-	load := l.table.Load()
-	n.cfg.Log.Emit(event.TermBegun, "term", view.Term, "jobs", load.Jobs, "unproven", load.UnconfirmedAgents)
 }
 
 // resignIsolated steps down and leaves the next term to others for Timing.LeaderTimeout.
--- a/process/metrics/catalogue.go
+++ b/process/metrics/catalogue.go
@@ -46,6 +46,7 @@
 	StartsFailedEarly
 	StartsRefused
 	LeasesExpired
+	RunsConflicting
 	AdviceCall
 	StoreCalls
 	StoreCommit
@@ -113,6 +114,7 @@
 	StartsFailedEarly:    {"starts_failed_early", Counter, "", "", "Runs that failed within a second of their start."},
 	StartsRefused:        {"starts_refused", Counter, "", "", "Orders that agents have refused."},
 	LeasesExpired:        {"leases_lapsed", Counter, "", "", "Agents whose lease expired without a report."},
+	RunsConflicting:      {"runs_conflicting", Counter, "", "", "Runs that an agent listed although their task had another run."},
 	AdviceCall:           {"advice_call", Histogram, "seconds", "", "Duration of calls to the policy service."},
 	StoreCalls:           {"store_calls", Counter, "", "kind", "Calls to the store, by kind: read, write, watch."},
 	StoreCommit:          {"store_commit", Histogram, "seconds", "", "Duration of the leader's write calls to the store."},
--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -190,7 +190,8 @@
 // expireSession removes an agent whose lease is known to have expired, and its runs, which
 // have therefore ended. Their tasks are requeued.
 func (t *Table) expireSession(now time.Time, a *agentState) {
-	t.cfg.Log.Emit(event.AgentSessionExpired, "agent", a.id, "session", a.session, "tasks", len(a.runs))
+	t.cfg.Log.Emit(event.AgentSessionExpired, "agent", a.id, "session", a.session, "tasks", len(a.runs),
+		"age_ms", now.Sub(a.reportedAt).Milliseconds(), "source", string(t.termConfirmedBy))
 	t.cfg.Meter.Add(metrics.LeasesExpired, 1)
 	for _, run := range a.runs {
 		t.measureEnd(now, run, job.EndLeaseExpired)
--- a/process/schedule/restore.go
+++ b/process/schedule/restore.go
@@ -36,15 +36,16 @@
 }
 
 // LimitPreviousLeases records that the runs of the previous term's agents are known to
-// have ended by until at the latest.
-func (t *Table) LimitPreviousLeases(until time.Time) {
+// have ended by until at the latest, and reports whether that shortens a wait.
+func (t *Table) LimitPreviousLeases(until time.Time) (shortened bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for agent, old := range t.unconfirmedAgents {
 		if until.Before(old) {
-			t.unconfirmedAgents[agent] = until
+			t.unconfirmedAgents[agent], shortened = until, true
 		}
 	}
+	return shortened
 }
 
 // SetRegistered sets the agents that the store is known to contain. Only these get new
--- a/process/schedule/restore_test.go
+++ b/process/schedule/restore_test.go
@@ -349,3 +349,24 @@
 	k, _ := onlyEntry(t, b.starts())
 	require.Greater(t, k.Run, uint32(runsPerTerm))
 }
+
+// Guards against an overlap of two runs that no log shows: an agent lists a run while the
+// task has another one.
+func TestConflictingRunsAreLogged(t *testing.T) {
+	b := newTestbench(t, 2)
+	var out bytes.Buffer
+	log, err := event.New(&out, "json", "info")
+	require.NoError(t, err)
+	b.table.cfg.Log = log
+	until := b.now().Add(time.Minute)
+	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, map[string]time.Time{"a": until, "b": until})
+	list := func(agent string, run uint32) {
+		b.report(agent, message.Report{
+			Session: 1, Full: true, Worker: workerInfo(agent), Running: []message.RunState{{Key: key("j", 0, 0, run), PacePct: fullPacePct}},
+		})
+	}
+	list("a", 2)
+	require.NotContains(t, out.String(), "run_conflicting")
+	list("b", 1)
+	require.Contains(t, out.String(), `"name":"run_conflicting","task":"j.0.0.0","run":1,"agent":"b","other_run":2,"other_agent":"a"`)
+}
--- a/process/schedule/runs.go
+++ b/process/schedule/runs.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/request/job"
 )
@@ -52,6 +53,11 @@
 	if task == nil || task.step.job().state.Terminal() || task.phase == taskDone {
 		return nil
 	}
+	if task.run != nil && !task.step.def.Speculative {
+		t.cfg.Meter.Add(metrics.RunsConflicting, 1)
+		t.cfg.Log.Emit(event.RunConflicting, "task", key.Task.String(), "run", key.Run, "agent", a.id,
+			"other_run", task.run.number, "other_agent", task.run.agent.id)
+	}
 	if task.run != nil && task.run.agent != a && !task.step.def.Speculative {
 		return nil // the current run was ordered when this one was known to have ended
 	}
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -116,6 +116,7 @@
 	// termConfirmedAt is the latest time at which this term is known to have been the
 	// newest one.
 	termConfirmedAt        time.Time
+	termConfirmedBy        Confirmation
 	awaitsTermConfirmation bool // the expiry of a session waits for ConfirmTerm
 	startTracker           startTracker
 	shares                 *fairness.Shares
--- a/process/schedule/testbench_test.go
+++ b/process/schedule/testbench_test.go
@@ -65,7 +65,7 @@
 
 // tick confirms the term as the newest one and ticks the table.
 func (b *testbench) tick() {
-	b.table.ConfirmTerm(b.now())
+	b.table.ConfirmTerm(b.now(), ConfirmedByStore)
 	b.table.Tick(b.now())
 }
 
@@ -212,7 +212,7 @@
 	confirmed := b.now()
 	b.clock.Advance(3 * testLease)
 	b.report(other, message.Report{})
-	b.table.ConfirmTerm(confirmed)
+	b.table.ConfirmTerm(confirmed, ConfirmedByFollowers)
 	b.table.Tick(b.now())
 	require.Empty(t, b.starts())
 	require.True(t, b.table.NeedsTermConfirmation())
--- a/process/schedule/tick.go
+++ b/process/schedule/tick.go
@@ -34,14 +34,23 @@
 	}
 }
 
+// Confirmation is what has shown that a term was the newest one.
+type Confirmation string
+
+// The confirmations: a transaction of the leader, and its followers.
+const (
+	ConfirmedByStore     Confirmation = "store"
+	ConfirmedByFollowers Confirmation = "followers"
+)
+
 // ConfirmTerm records that no newer term had begun at the given time. A session expires
 // only if that time is not before the end of its lease: otherwise the agent may follow
 // the leader of a newer term, and its tasks would be started a second time here.
-func (t *Table) ConfirmTerm(at time.Time) {
+func (t *Table) ConfirmTerm(at time.Time, by Confirmation) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if at.After(t.termConfirmedAt) {
-		t.termConfirmedAt = at
+		t.termConfirmedAt, t.termConfirmedBy = at, by
 	}
 }
 
