process/lead: wait for the grants of all earlier leaders

Two runs of one task were possible after two changes of the leader within 12 s, or after one whose claim had no response.

Cause: a new leader waits for agents that have not reported until every grant of earlier terms is over, Outage + Lease. It waited Lease only if the previous term was its own entry's, or once the holder of the previous term followed it. Both look at one holder, while a leader of a term before that, which the store and the entries do not reach, still grants leases to its agents until Outage after its last transaction. After a claim without a response, the view of the new term itself counted as the previous one, so its own holder ended the wait although the real previous leader granted.

The tests on the code before (handleFollow's condition as a method):

--- FAIL: TestRestartedLeaderWaitsForEarlierLeaders "4.18s" is not greater than or equal to "12s" --- FAIL: TestFollowingLeaderDoesNotEndEarlierTerms "4.18s" is not greater than or equal to "12s" --- FAIL: TestLeaderWaitsAfterAnUncertainClaim "4.18s" is not greater than or equal to "12s"

The leader's heartbeat in the store now says whether its term is settled: no agent is left that may have runs and has not reported. An agent that has reported to a term accepts no grant of an earlier one, and for the others the grants are over, so no leader before that term can keep a run alive. Agents outside leader/agents get no runs, from the earlier leader neither. A term stays settled, so an old heartbeat is at worst too cautious. The wait is shortened only if the heartbeat read before the claim says so, and readTerm passes the view before its read as the previous one.

A follower that arrives while the jobs are loaded also shortens the wait now; before, its message found an empty table (the wait was too long). TestWaitIsShortOnceEarlierTermsAreOver keeps the short wait after a single change and after a restart of the leader. A second change within 12 s of the first waits the full time for agents that have reported to neither leader.

go test -race on process/lead, term, schedule and jobstore passes.

--- a/process/lead/commits.go
+++ b/process/lead/commits.go
@@ -73,7 +73,9 @@
 	l.mu.Unlock()
 	pending := &pendingBatch{heartbeat: l.heartbeat.Load() + 1}
 	pending.resigns = l.resigning.Load()
-	extra, err := term.HeartbeatTxn(term.Heartbeat{Term: l.number, Number: pending.heartbeat, Resigned: pending.resigns}, heartbeatRevision)
+	extra, err := term.HeartbeatTxn(term.Heartbeat{
+		Term: l.number, Number: pending.heartbeat, Resigned: pending.resigns, Settled: l.table.Settled(),
+	}, heartbeatRevision)
 	if err != nil {
 		return nil, err
 	}
--- a/process/lead/handle.go
+++ b/process/lead/handle.go
@@ -67,9 +67,7 @@
 	n.mu.Lock()
 	n.knownEntries[f.Entry.ID] = f.Entry
 	n.mu.Unlock()
-	if l.mu.previous.Holder.ID == f.Entry.ID {
-		l.shortenLeases() // a previous leader that follows grants no leases any more
-	}
+	l.recordFollower(f.Entry.ID)
 	l.addFollower(r.Conn, *f)
 }
 
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -47,6 +47,7 @@
 	degraded      atomic.Bool
 	agentsReached atomic.Bool   // at least half of the known agents were once reachable in this term
 	resigning     atomic.Bool   // the term is being resigned: isolated from agents and entries
+	previousEnded atomic.Bool   // no leader of an earlier term grants leases any more
 	heartbeat     atomic.Uint64 // number of the last one that the store has confirmed
 
 	mu termState
@@ -74,8 +75,8 @@
 	heartbeatRevision uint64    // of term.HeartbeatKey
 	agentsRevision    uint64
 	pending           *pendingBatch // nil: no outcome is uncertain
-	// previous is the view before the claim, whose leader may still grant leases. It never
-	// changes and is read without the lock.
+	// previous is the view before the claim, whose leader may still grant leases, as may those
+	// before it unless the view is settled. It never changes and is read without the lock.
 	previous term.View
 }
 
@@ -135,7 +136,12 @@
 	now := l.node.cfg.Clock.Now()
 	leaseEnd, reason := now.Add(l.node.cfg.Timing.Outage+l.node.cfg.Timing.Lease), "an earlier leader may still grant leases"
 	if l.mu.previous.Holder.ID == l.node.cfg.Self().ID {
-		leaseEnd, reason = now.Add(l.node.cfg.Timing.Lease), "this entry held the previous term"
+		// The previous leader was a process of this entry and grants nothing any more.
+		if l.mu.previous.Settled() {
+			leaseEnd, reason = now.Add(l.node.cfg.Timing.Lease), "this entry held the previous term"
+		} else {
+			reason = "this entry held the previous term, but a leader before that may still grant leases"
+		}
 	}
 	until := schedule.SafeLeaseEnd(leaseEnd, l.node.cfg.Timing.Lease)
 	unconfirmed := make(map[string]time.Time, len(agents))
@@ -144,6 +150,9 @@
 	}
 	l.table.Restore(now, unfinished, unconfirmed)
 	l.table.RestoreEnded(ended)
+	if l.previousEnded.Load() {
+		l.shortenLeases() // the follower came before its agents were in the table
+	}
 	wait := time.Duration(0)
 	if len(agents) > 0 {
 		wait = until.Sub(now)
@@ -154,8 +163,18 @@
 	return nil
 }
 
-// shortenLeases shortens the wait for agents of the previous term, whose leader grants no
-// leases any more: those leases end at most Timing.Lease from now.
+// recordFollower shortens the wait for agents of earlier terms if the follower held the
+// previous one: it grants no leases any more. The leaders before it must not either.
+func (l *leaderTerm) recordFollower(id string) {
+	if id != l.mu.previous.Holder.ID || !l.mu.previous.Settled() {
+		return
+	}
+	l.previousEnded.Store(true)
+	l.shortenLeases()
+}
+
+// shortenLeases shortens the wait for agents of earlier terms, whose leaders grant no leases
+// any more: those leases end at most Timing.Lease from now.
 func (l *leaderTerm) shortenLeases() {
 	now := l.node.cfg.Clock.Now()
 	until := schedule.SafeLeaseEnd(now.Add(l.node.cfg.Timing.Lease), l.node.cfg.Timing.Lease)
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -326,7 +326,7 @@
 	if err == nil {
 		n.elector.SetClaimDelay(n.cfg.Timing.ClaimDelay + time.Duration(n.cfg.Timing.StoreLatencyFactor)*min(now.Sub(began), maxStoreLatency))
 	}
-	before := n.elector.Term()
+	previous := n.elector.View()
 	if err != nil {
 		n.elector.RecordReadFailure(now)
 	} else {
@@ -336,10 +336,10 @@
 	switch {
 	case err != nil:
 		n.cfg.Metrics.Add(metrics.StoreReadsFailed, 1)
-	case view.Term > before && view.HeldBy(n.cfg.Self()) && n.ownTerm.Load() == nil:
+	case view.Term > previous.Term && view.HeldBy(n.cfg.Self()) && n.ownTerm.Load() == nil:
 		// This process's own claim had taken effect without a response.
-		n.beginTerm(ctx, view, view)
-	case view.Term > before:
+		n.beginTerm(ctx, previous, view)
+	case view.Term > previous.Term:
 		n.logLeader(view, "store")
 	}
 }
--- a/process/schedule/restore.go
+++ b/process/schedule/restore.go
@@ -48,6 +48,14 @@
 	return shortened
 }
 
+// Settled reports whether no agent may have a run of an earlier term that is not in the
+// table. Once true after Restore, it stays true.
+func (t *Table) Settled() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.unconfirmedAgents) == 0
+}
+
 // SetRegistered sets the agents that the store is known to contain. Only these get new
 // runs.
 func (t *Table) SetRegistered(agents []string) {
