--- a/process/lead/commits.go
+++ b/process/lead/commits.go
@@ -11,6 +11,7 @@
 	"camphorhead.example/camphorhead/process/jobstore"
 	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
+	"camphorhead.example/camphorhead/process/schedule"
 	"camphorhead.example/camphorhead/process/term"
 )
 
@@ -72,7 +73,9 @@
 	l.mu.Unlock()
 	pending := &pendingBatch{heartbeat: l.heartbeat.Load() + 1}
 	pending.resigns = l.resigning.Load()
-	extra, err := term.HeartbeatTxn(term.Heartbeat{Term: l.number, Number: pending.heartbeat, Resigned: pending.resigns}, heartbeatRevision)
+	extra, err := term.HeartbeatTxn(term.Heartbeat{
+		Term: l.number, Number: pending.heartbeat, Resigned: pending.resigns, Settled: l.table.Settled(),
+	}, heartbeatRevision)
 	if err != nil {
 		return nil, err
 	}
@@ -118,7 +121,7 @@
 // because the store confirmed the term then or later. A resignation ends the term.
 func (l *leaderTerm) commitSucceeded(sent time.Time, pending *pendingBatch) {
 	l.table.MarkCommitted(pending.batch.Records)
-	l.table.ConfirmTerm(sent)
+	l.table.ConfirmTerm(sent, schedule.ConfirmedByStore)
 	if pending.agents != nil {
 		l.table.SetRegistered(pending.agents)
 	}
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -47,6 +47,7 @@
 	degraded      atomic.Bool
 	agentsReached atomic.Bool   // at least half of the known agents were once reachable in this term
 	resigning     atomic.Bool   // the term is being resigned: isolated from agents and entries
+	previousEnded atomic.Bool   // no leader of an earlier term grants leases any more
 	heartbeat     atomic.Uint64 // number of the last one that the store has confirmed
 
 	mu termState
@@ -74,8 +75,8 @@
 	heartbeatRevision uint64    // of term.HeartbeatKey
 	agentsRevision    uint64
 	pending           *pendingBatch // nil: no outcome is uncertain
-	// previous is the view before the claim, whose leader may still grant leases. It never
-	// changes and is read without the lock.
+	// previous is the view before the claim, whose leader may still grant leases, as may those
+	// before it unless the view is settled. It never changes and is read without the lock.
 	previous term.View
 }
 
@@ -133,24 +134,54 @@
 	l.mu.inboxRevision, l.mu.agentsRevision = revision, kv.Revision
 	unfinished, ended := jobstore.ConvertLoaded(jobs)
 	now := l.node.cfg.Clock.Now()
-	leaseEnd := now.Add(l.node.cfg.Timing.Outage + l.node.cfg.Timing.Lease)
+	leaseEnd, reason := now.Add(l.node.cfg.Timing.Outage+l.node.cfg.Timing.Lease), "an earlier leader may still grant leases"
 	if l.mu.previous.Holder.ID == l.node.cfg.Self().ID {
-		leaseEnd = now.Add(l.node.cfg.Timing.Lease) // the previous leader was a process of this entry and grants nothing any more
+		// The previous leader was a process of this entry and grants nothing any more.
+		if l.mu.previous.Settled() {
+			leaseEnd, reason = now.Add(l.node.cfg.Timing.Lease), "this entry held the previous term"
+		} else {
+			reason = "this entry held the previous term, but a leader before that may still grant leases"
+		}
 	}
+	until := schedule.SafeLeaseEnd(leaseEnd, l.node.cfg.Timing.Lease)
 	unconfirmed := make(map[string]time.Time, len(agents))
 	for _, id := range agents {
-		unconfirmed[id] = schedule.SafeLeaseEnd(leaseEnd, l.node.cfg.Timing.Lease)
+		unconfirmed[id] = until
 	}
 	l.table.Restore(now, unfinished, unconfirmed)
 	l.table.RestoreEnded(ended)
+	if l.previousEnded.Load() {
+		l.shortenLeases() // the follower came before its agents were in the table
+	}
+	wait := time.Duration(0)
+	if len(agents) > 0 {
+		wait = until.Sub(now)
+	}
+	load := l.table.Load()
+	l.node.cfg.Log.Emit(event.TermBegun, "term", l.number, "jobs", load.Jobs, "unproven", load.UnconfirmedAgents,
+		"wait_ms", wait.Milliseconds(), "reason", reason)
 	return nil
 }
 
-// shortenLeases shortens the wait for agents of the previous term, whose leader grants no
-// leases any more: those leases end at most Timing.Lease from now.
+// recordFollower shortens the wait for agents of earlier terms if the follower held the
+// previous one: it grants no leases any more. The leaders before it must not either.
+func (l *leaderTerm) recordFollower(id string) {
+	if id != l.mu.previous.Holder.ID || !l.mu.previous.Settled() {
+		return
+	}
+	l.previousEnded.Store(true)
+	l.shortenLeases()
+}
+
+// shortenLeases shortens the wait for agents of earlier terms, whose leaders grant no leases
+// any more: those leases end at most Timing.Lease from now.
 func (l *leaderTerm) shortenLeases() {
 	now := l.node.cfg.Clock.Now()
-	l.table.LimitPreviousLeases(schedule.SafeLeaseEnd(now.Add(l.node.cfg.Timing.Lease), l.node.cfg.Timing.Lease))
+	until := schedule.SafeLeaseEnd(now.Add(l.node.cfg.Timing.Lease), l.node.cfg.Timing.Lease)
+	if l.table.LimitPreviousLeases(until) {
+		l.node.cfg.Log.Emit(event.EarlierLeasesLimited, "term", l.number, "wait_ms", until.Sub(now).Milliseconds(),
+			"reason", "the holder of the previous term follows")
+	}
 }
 
 const loadCallTimeouts = 5 // time limit of load, in units of Timing.CallTimeout
@@ -214,7 +245,7 @@
 		}
 	}
 	l.mu.Unlock()
-	l.table.ConfirmTerm(confirmedAt)
+	l.table.ConfirmTerm(confirmedAt, schedule.ConfirmedByFollowers)
 }
 
 // hasActiveFollower reports whether a follower sent anything within 2/3 of the leader timeout.
--- a/process/schedule/restore.go
+++ b/process/schedule/restore.go
@@ -36,15 +36,24 @@
 }
 
 // LimitPreviousLeases records that the runs of the previous term's agents are known to
-// have ended by until at the latest.
-func (t *Table) LimitPreviousLeases(until time.Time) {
+// have ended by until at the latest, and reports whether that shortens a wait.
+func (t *Table) LimitPreviousLeases(until time.Time) (shortened bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for agent, old := range t.unconfirmedAgents {
 		if until.Before(old) {
-			t.unconfirmedAgents[agent] = until
+			t.unconfirmedAgents[agent], shortened = until, true
 		}
 	}
+	return shortened
+}
+
+// Settled reports whether no agent may have a run of an earlier term that is not in the
+// table. Once true after Restore, it stays true.
+func (t *Table) Settled() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.unconfirmedAgents) == 0
 }
 
 // SetRegistered sets the agents that the store is known to contain. Only these get new
