jobstore, lead: skip job records whose numbers the leader cannot work with

A record in the store that decodes but holds a count near 2^63, a dependency on a step that does not exist, or the definition of another job ended the leader that loaded it, and each leader after it: job.NewProgress: panic: runtime error: makeslice: len out of range The records are keys of a store to which others may write.

decodeStored now applies Definition.Validate and compares the ID with the key; such a record is unreadable like one that cannot be decoded, and the others hold. A record that arrives by a poll of the inbox was skipped without a log line; it is logged as record_unreadable, at most 10 lines for each read, since another writer may leave any number of them. process/lead: only the log lines.

TestOddJobRecordsAreSkipped on the code before: Error: "[]" should have 7 item(s), but has 0

--- a/process/jobstore/jobstore_test.go
+++ b/process/jobstore/jobstore_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -57,6 +58,41 @@
 	require.NotZero(t, stored.Revision)
 }
 
+// Guards against a record of another writer that ends each leader which loads it, and
+// against one that hides the other jobs.
+func TestOddJobRecordsAreSkipped(t *testing.T) {
+	store := newFakeStore()
+	w := beginTerm(store, 1)
+	_, _, err := New(store).Create(t.Context(), definition("good"), 1)
+	require.NoError(t, err)
+	odd := map[string]func(*job.Definition){
+		"count":       func(d *job.Definition) { d.Steps[0].Count = math.MaxInt64 },
+		"negative":    func(d *job.Definition) { d.Steps[0].Count = -8 },
+		"occurrences": func(d *job.Definition) { d.Occurrences = 1 << 60 },
+		"after":       func(d *job.Definition) { d.Steps[0].After = []int{7} },
+		"no steps":    func(d *job.Definition) { d.Steps = nil },
+		"capacity":    func(d *job.Definition) { d.Steps[0].Need.MilliCPU = math.MinInt64 },
+		"other id":    func(d *job.Definition) { d.ID = "good" },
+	}
+	for id, change := range odd {
+		d := definition(id)
+		change(d)
+		value, err := encode(&StoredJob{Definition: d})
+		require.NoError(t, err)
+		_, err = store.apply(platform.Txn{Puts: []platform.Put{{Key: jobKey(id), Value: value}}})
+		require.NoError(t, err)
+	}
+	jobs, _, unreadable, err := w.Load(t.Context())
+	require.NoError(t, err)
+	require.Len(t, unreadable, len(odd))
+	require.Len(t, jobs, 1)
+	require.Equal(t, "good", jobs[0].ID)
+	in, err := w.Inbox(t.Context(), 0)
+	require.NoError(t, err)
+	require.Len(t, in.Jobs, 1)
+	require.Len(t, in.Unreadable, len(odd))
+}
+
 // Guards against writes by the leader of an earlier term.
 func TestFencedLeaderWritesNothing(t *testing.T) {
 	store := newFakeStore()
--- a/process/jobstore/keys.go
+++ b/process/jobstore/keys.go
@@ -68,6 +68,8 @@
 	return encoded, Class.Wrap(err)
 }
 
+// decodeStored decodes the record of a job. Other writers may have changed it, so it returns an
+// error for any definition with which the leader could not work.
 func decodeStored(kv platform.KV) (StoredJob, error) {
 	s := StoredJob{ID: strings.TrimPrefix(kv.Key, jobPrefix), Revision: kv.Revision}
 	if err := msgpack.Unmarshal(kv.Value, &s); err != nil {
@@ -76,5 +78,11 @@
 	if s.Definition == nil && !s.Ended() {
 		return StoredJob{}, Class.New("decoding a job: the record has neither a definition nor a final state")
 	}
-	return s, nil
+	if s.Definition == nil {
+		return s, nil
+	}
+	if s.Definition.ID != s.ID {
+		return StoredJob{}, Class.New("decoding a job: the definition is that of another job")
+	}
+	return s, Class.Wrap(s.Definition.Validate())
 }
--- a/process/jobstore/load.go
+++ b/process/jobstore/load.go
@@ -21,6 +21,8 @@
 type Inbox struct {
 	Jobs    []StoredJob
 	Cancels []string // job ids
+	// Unreadable are the keys of the jobs that cannot be decoded.
+	Unreadable []string
 	// Revision is the store's revision after which the next read continues.
 	Revision uint64
 }
@@ -104,8 +106,12 @@
 			continue
 		}
 		stored, err := decodeStored(c.KV)
-		if err != nil || stored.Ended() {
-			continue // the record cannot be decoded, or this leader wrote the final state
+		if err != nil {
+			in.Unreadable = append(in.Unreadable, c.Key)
+			continue
+		}
+		if stored.Ended() {
+			continue // this leader wrote the final state
 		}
 		in.Jobs = append(in.Jobs, stored)
 	}
--- a/process/lead/inbox.go
+++ b/process/lead/inbox.go
@@ -28,6 +28,7 @@
 		l.node.cfg.Metrics.Add(metrics.InboxReadsFailed, 1)
 		return err
 	}
+	l.logUnreadable(in.Unreadable)
 	for i := range in.Jobs {
 		l.accept(&in.Jobs[i], "store")
 	}
@@ -41,13 +42,23 @@
 	return nil
 }
 
+// maxUnreadableLogged bounds the log lines for the records found in one read of the store:
+// another writer may leave any number of them, once per second or more often.
+const maxUnreadableLogged = 10
+
+func (l *leaderTerm) logUnreadable(keys []string) {
+	for _, key := range keys[:min(len(keys), maxUnreadableLogged)] {
+		l.node.cfg.Log.Emit(event.RecordUnreadable, "subject", key)
+	}
+}
+
 // reloadInbox reads the whole inbox, for when the store has no history since the previous poll.
 func (l *leaderTerm) reloadInbox(ctx context.Context) (jobstore.Inbox, error) {
-	jobs, revision, _, err := l.writer.LoadInbox(ctx)
+	jobs, revision, unreadable, err := l.writer.LoadInbox(ctx)
 	if err != nil {
 		return jobstore.Inbox{}, err
 	}
-	in := jobstore.Inbox{Revision: revision}
+	in := jobstore.Inbox{Revision: revision, Unreadable: unreadable}
 	for _, j := range jobs {
 		if j.Ended() {
 			continue
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -117,9 +117,7 @@
 	if err != nil {
 		return err
 	}
-	for _, key := range unreadable {
-		l.node.cfg.Log.Emit(event.RecordUnreadable, "subject", key)
-	}
+	l.logUnreadable(unreadable)
 	kv, err := l.node.cfg.Store.Read(ctx, agentsKey)
 	if err != nil {
 		return err
