connection/body: check the structure of a body before it is decoded

A record of another writer in the store, or a hello before the handshake, ended the process that read it, and each one that read it later. The msgpack library allocates a slice at once for the length that an array or byte string declares (its limit is not in force: decodeSliceValue compares flags with 1, and []byte has none), and it skips unknown fields by recursion. Measured on the code before, each with one msgpack.Unmarshal: array of 2^32-1 steps, 11 bytes: fatal error: runtime: out of memory array of 4 million steps, 11 bytes: 1280 MiB allocated byte string of 2^32-1 bytes, 12 bytes: 4096 MiB allocated 1 MiB of nested arrays in an unknown field: 256 MiB of stack, no error 8 MiB of nested arrays: fatal error: stack overflow Both fatal errors cannot be recovered from.

body.Unmarshal walks the body without recursion first and rejects lengths above the remaining bytes, arrays of more than 65536 elements (the largest job) and more than 32 levels. All frames and all records in the store are decoded by it, also in process/term, process/jobstore and process/lead (decoding only). encoding/json needs no such check: it stops at 10000 levels, and bodies are bounded by the HTTP servers.

--- a/connection/peer/conn.go
+++ b/connection/peer/conn.go
@@ -17,6 +17,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/errs"
 
+	"camphorhead.example/camphorhead/connection/body"
 	"camphorhead.example/camphorhead/connection/frame"
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/lockrank"
@@ -105,7 +106,7 @@
 		if reply == nil {
 			return nil
 		}
-		return errs.Wrap(msgpack.Unmarshal(r.body, reply))
+		return errs.Wrap(body.Unmarshal(r.body, reply))
 	}
 }
 
@@ -256,7 +257,7 @@
 
 // Decode decodes the body into v. The error is an outcome.MalformedFrame.
 func (r Request) Decode(v any) error {
-	if err := msgpack.Unmarshal(r.body, v); err != nil {
+	if err := body.Unmarshal(r.body, v); err != nil {
 		return outcome.New(outcome.MalformedFrame, err.Error())
 	}
 	return nil
--- a/connection/peer/handshake.go
+++ b/connection/peer/handshake.go
@@ -5,9 +5,9 @@
 	"crypto/rand"
 	"crypto/sha256"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/errs"
 
+	"camphorhead.example/camphorhead/connection/body"
 	"camphorhead.example/camphorhead/connection/frame"
 	"camphorhead.example/camphorhead/connection/message"
 )
@@ -57,7 +57,7 @@
 // connection must be closed.
 func (c *Conn) handleHello(f frame.Frame) bool {
 	var hello message.Hello
-	if err := msgpack.Unmarshal(f.Body, &hello); err != nil {
+	if err := body.Unmarshal(f.Body, &hello); err != nil {
 		c.net.cfg.Observer.FrameMalformed(c.raw.RemoteAddr().String(), err)
 		return false
 	}
--- a/connection/peer/loop.go
+++ b/connection/peer/loop.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/vmihailenco/msgpack/v5"
 
+	"camphorhead.example/camphorhead/connection/body"
 	"camphorhead.example/camphorhead/connection/frame"
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/request/outcome"
@@ -131,7 +131,7 @@
 		c.complete(f.Call, result{body: f.Body})
 	case message.KindError:
 		failure := &outcome.Error{}
-		if err := msgpack.Unmarshal(f.Body, failure); err != nil {
+		if err := body.Unmarshal(f.Body, failure); err != nil {
 			failure = outcome.New(outcome.Internal, "malformed body of an error reply")
 		}
 		c.complete(f.Call, result{err: failure})
--- a/process/configlog/configlog.go
+++ b/process/configlog/configlog.go
@@ -15,6 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/errs"
 
+	"camphorhead.example/camphorhead/connection/body"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/request/outcome"
 	"camphorhead.example/camphorhead/version/holder"
@@ -202,7 +203,7 @@
 		return head{}, 0, err
 	}
 	var h head
-	if err := msgpack.Unmarshal(kv.Value, &h); err != nil {
+	if err := body.Unmarshal(kv.Value, &h); err != nil {
 		return head{}, 0, errs.New("decoding config/head: %w", err)
 	}
 	return h, kv.Revision, nil
@@ -214,7 +215,7 @@
 		return err
 	}
 	var doc profile.Document
-	if err := msgpack.Unmarshal(kv.Value, &doc); err != nil {
+	if err := body.Unmarshal(kv.Value, &doc); err != nil {
 		return errs.New("decoding config/snapshot: %w", err)
 	}
 	l.holder.Replace(&doc)
@@ -229,7 +230,7 @@
 	}
 	if kv.Revision > 0 {
 		var stored profile.Document
-		if err := msgpack.Unmarshal(kv.Value, &stored); err == nil && stored.Version >= doc.Version {
+		if err := body.Unmarshal(kv.Value, &stored); err == nil && stored.Version >= doc.Version {
 			return nil
 		}
 	}
--- a/process/jobstore/checks.go
+++ b/process/jobstore/checks.go
@@ -6,8 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"camphorhead.example/camphorhead/connection/body"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/outcome"
@@ -101,7 +100,7 @@
 
 func decodeCheck(kv platform.KV) (StoredCheck, error) {
 	var stored StoredCheck
-	if err := msgpack.Unmarshal(kv.Value, &stored); err != nil {
+	if err := body.Unmarshal(kv.Value, &stored); err != nil {
 		return StoredCheck{}, Class.Wrap(err)
 	}
 	stored.Revision = kv.Revision
--- a/process/jobstore/keys.go
+++ b/process/jobstore/keys.go
@@ -12,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/errs"
 
+	"camphorhead.example/camphorhead/connection/body"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/request/job"
 )
@@ -72,7 +73,7 @@
 // error for any definition with which the leader could not work.
 func decodeStored(kv platform.KV) (StoredJob, error) {
 	s := StoredJob{ID: strings.TrimPrefix(kv.Key, jobPrefix), Revision: kv.Revision}
-	if err := msgpack.Unmarshal(kv.Value, &s); err != nil {
+	if err := body.Unmarshal(kv.Value, &s); err != nil {
 		return StoredJob{}, Class.Wrap(err)
 	}
 	if s.Definition == nil && !s.Ended() {
--- a/process/jobstore/load.go
+++ b/process/jobstore/load.go
@@ -5,8 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"camphorhead.example/camphorhead/connection/body"
 	"camphorhead.example/camphorhead/request/job"
 )
 
@@ -50,7 +49,7 @@
 		}
 		w.recordProgressRevision(id, kv.Revision)
 		var p job.Progress
-		if err := msgpack.Unmarshal(kv.Value, &p); err != nil {
+		if err := body.Unmarshal(kv.Value, &p); err != nil {
 			unreadable = append(unreadable, kv.Key)
 			continue
 		}
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -5,8 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"camphorhead.example/camphorhead/connection/body"
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
 	"camphorhead.example/camphorhead/process/event"
@@ -124,7 +123,7 @@
 	}
 	var agents []string
 	if kv.Revision != 0 {
-		if err := msgpack.Unmarshal(kv.Value, &agents); err != nil {
+		if err := body.Unmarshal(kv.Value, &agents); err != nil {
 			l.node.cfg.Log.Emit(event.RecordUnreadable, "subject", agentsKey)
 		}
 	}
--- a/process/term/term.go
+++ b/process/term/term.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/errs"
 
+	"camphorhead.example/camphorhead/connection/body"
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/platform"
 )
@@ -62,10 +63,10 @@
 		switch kv.Key {
 		case Key:
 			v.Revision = kv.Revision
-			err = msgpack.Unmarshal(kv.Value, &v.Record)
+			err = body.Unmarshal(kv.Value, &v.Record)
 		case HeartbeatKey:
 			v.HeartbeatRevision = kv.Revision
-			err = msgpack.Unmarshal(kv.Value, &v.Heartbeat)
+			err = body.Unmarshal(kv.Value, &v.Heartbeat)
 		}
 		if err != nil {
 			return View{}, Class.New("decode key %s: %w", kv.Key, err)
