term: begin the next term after an odd value under a leader's key

One value of another writer under leader/term or leader/beat that could not be decoded ended leadership for good: the leader was fenced (its key had changed), and Read returned an error on every entry, which counts as a store that does not respond, so no entry claimed the next term. A term of 2^64-1 was followed by term 0; a heartbeat of 2^64-1 hid all later ones.

Read now returns the error of the store only. A heartbeat that cannot be decoded or exceeds 2^48 counts as none. A record like that is returned without a holder and with the term of the heartbeat plus 2^20, which is above all terms that can have begun, so that agents and entries follow the term claimed after it; the claim still expects the revision of the odd value. lead logs record_unreadable once per change of the term instead of leader_known.

--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -339,6 +339,8 @@
 	case view.Term > before && view.HeldBy(n.cfg.Self()) && n.ownTerm.Load() == nil:
 		// This process's own claim had taken effect without a response.
 		n.beginTerm(ctx, view, view)
+	case view.Term > before && view.Unreadable:
+		n.cfg.Log.Emit(event.RecordUnreadable, "subject", term.Key)
 	case view.Term > before:
 		n.logLeader(view, "store")
 	}
--- a/process/term/term.go
+++ b/process/term/term.go
@@ -49,10 +49,22 @@
 	Revision          uint64 // of Key; 0: no term has begun yet
 	Heartbeat         Heartbeat
 	HeartbeatRevision uint64 // of HeartbeatKey; 0: the key does not exist
+	// Unreadable is set if another writer has replaced the record by a value that names no
+	// term; Term is then above all terms that can have begun, and nobody holds it.
+	Unreadable bool
 }
 
-// Read returns the current view of the store. The error is that of the store, or one
-// of Class for a value that cannot be decoded.
+const (
+	// maxNumber bounds the numbers of terms and heartbeats. A term lasts a second or more,
+	// so higher ones come from another writer, and the numbers after them would overflow.
+	maxNumber = 1 << 48
+	// unreadableGap is added to the term of the heartbeat if the record cannot be decoded;
+	// few terms begin without a heartbeat.
+	unreadableGap = 1 << 20
+)
+
+// Read returns the current view of the store, or the error of the store. A heartbeat that
+// cannot be decoded counts as none; for the record see View.Unreadable.
 func Read(ctx context.Context, store platform.Store) (View, error) {
 	items, _, err := store.List(ctx, "leader/")
 	if err != nil {
@@ -63,15 +75,19 @@
 		switch kv.Key {
 		case Key:
 			v.Revision = kv.Revision
-			err = body.Unmarshal(kv.Value, &v.Record)
+			err := body.Unmarshal(kv.Value, &v.Record)
+			v.Unreadable = err != nil || v.Term == 0 || v.Term > maxNumber
 		case HeartbeatKey:
 			v.HeartbeatRevision = kv.Revision
-			err = body.Unmarshal(kv.Value, &v.Heartbeat)
-		}
-		if err != nil {
-			return View{}, Class.New("decode key %s: %w", kv.Key, err)
+			err := body.Unmarshal(kv.Value, &v.Heartbeat)
+			if err != nil || v.Heartbeat.Term > maxNumber || v.Heartbeat.Number > maxNumber {
+				v.Heartbeat = Heartbeat{}
+			}
 		}
 	}
+	if v.Unreadable {
+		v.Record = Record{Term: v.Heartbeat.Term + unreadableGap}
+	}
 	return v, nil
 }
 
