lead: wait for all leases if the list of agents cannot be decoded

A new leader that could not decode leader/agents logged it and took no agent to have runs, so it placed the unfinished tasks at once while agents still held leases from the former leader: two runs of one task. Any writer of the store can leave such a value, and the list is rewritten only when an agent joins or leaves.

The leader now waits for a placeholder that no agent answers for, which is until the leases of all agents have ended (Outage + Lease and the slack for clocks). The placeholder is written like any agent that has not reported, so a leader that follows within that time waits too. process/lead: decoding of the list only.

TestUnreadableListOfAgentsIsWaitedFor on the code before: expected: 1, actual: 0 (nothing is placed before the leases have ended)

--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -20,6 +20,11 @@
 
 const agentsKey = "leader/agents" // key of the list of agents that may have runs
 
+// unknownAgents stands for all agents if the list of agents cannot be decoded. No agent has
+// this ID, so the leader waits until the leases of all agents have ended, and the next one
+// too if this one ends before that.
+const unknownAgents = "unknown agents"
+
 const (
 	inboxInterval    = time.Second            // between polls for jobs and cancellations of which no notice arrived
 	purgeInterval    = 5 * time.Second        // between deletions of old records
@@ -125,6 +130,7 @@
 	if kv.Revision != 0 {
 		if err := body.Unmarshal(kv.Value, &agents); err != nil {
 			l.node.cfg.Log.Emit(event.RecordUnreadable, "subject", agentsKey)
+			agents = []string{unknownAgents}
 		}
 	}
 	l.mu.inboxRevision, l.mu.agentsRevision = revision, kv.Revision
--- a/process/lead/outage_test.go
+++ b/process/lead/outage_test.go
@@ -174,3 +174,27 @@
 	_, _, err = n.Create(t.Context(), &job.Definition{ID: "k", Steps: []job.Step{{Count: 1}}})
 	require.Equal(t, outcome.StoreUnavailable, outcome.From(err).Kind)
 }
+
+// oddAgentsStore holds a value of another writer under the key of the list of agents.
+type oddAgentsStore struct{ *failingStore }
+
+func (s oddAgentsStore) Read(_ context.Context, key string) (platform.KV, error) {
+	return platform.KV{Key: key, Value: []byte("odd entry"), Revision: 7}, nil
+}
+
+// Guards against a second run of a task whose first run still has a lease: a leader that
+// cannot read which agents may have runs takes none to have any.
+func TestUnreadableListOfAgentsIsWaitedFor(t *testing.T) {
+	n, store, clock := newTestNode(t)
+	n.cfg.Store = oddAgentsStore{store}
+	n.cfg.Timing.Outage, n.cfg.Timing.Lease = 5*time.Second, 10*time.Second
+	l := newLeaderTerm(n, term.View{}, term.View{Record: term.Record{Term: 2}, Revision: 3})
+	require.NoError(t, l.load(t.Context()))
+	require.Equal(t, 1, l.table.Load().UnconfirmedAgents, "nothing is placed before the leases have ended")
+	clock.Advance(15 * time.Second)
+	l.table.Tick(clock.Now())
+	require.Equal(t, 1, l.table.Load().UnconfirmedAgents, "the leases may still hold by a slow clock")
+	clock.Advance(time.Second)
+	l.table.Tick(clock.Now())
+	require.Zero(t, l.table.Load().UnconfirmedAgents)
+}
