--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -61,6 +61,7 @@
 	node    *runs.Node
 	// registry is nil without Deps.Registry.
 	registry *registry
+	refusals refusals
 	deps     Deps
 	tickers  []*pool.Ticker
 
--- a/process/agent/node.go
+++ b/process/agent/node.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
@@ -101,7 +103,26 @@
 // Withdraw records that the worker with this ID has departed.
 func (a *Agent) Withdraw(id string) { a.node.Withdraw(id) }
 
-// Malformed logs an invalid announcement and its reason. source is the ID of the worker.
+// Now returns the time of the agent's clock.
+func (a *Agent) Now() time.Time { return a.clock.Now() }
+
+// refusalLogInterval is the minimum time between two log lines about refused announcements:
+// another writer may send any number of them.
+const refusalLogInterval = 10 * time.Second
+
+// refusals counts the refused announcements that are not logged yet.
+type refusals struct {
+	count    atomic.Int64
+	loggedAt atomic.Int64 // in milliseconds of Unix time; 0: never
+}
+
+// Malformed logs an invalid announcement and its reason, at most once per refusalLogInterval,
+// with the number of those since the previous line. source is the ID of the worker.
 func (a *Agent) Malformed(source string, err error) {
-	a.log.Emit(event.AnnouncementRefused, "source", source, "error", err)
+	a.refusals.count.Add(1)
+	now, last := a.clock.Now().UnixMilli(), a.refusals.loggedAt.Load()
+	if last != 0 && now-last < refusalLogInterval.Milliseconds() || !a.refusals.loggedAt.CompareAndSwap(last, now) {
+		return
+	}
+	a.log.Emit(event.AnnouncementRefused, "source", source, "error", err, "refused", a.refusals.count.Swap(0))
 }
--- a/process/event/catalogue.go
+++ b/process/event/catalogue.go
@@ -110,7 +110,7 @@
 	{WorkerUnreachable, "worker_silent", Error, "worker does not respond", withUnits("worker silent_ms error"), "Check the worker. Its runs end when their lease expires."},
 	{WorkerReachable, "worker_answers", Info, "worker responds", withUnits("worker silent_ms"), noAction},
 	{WorkerRestarted, "worker_reborn", Info, "another instance of the worker responds", withUnits("worker tasks"), "Check why the worker ended."},
-	{AnnouncementRefused, "announcement_refused", Error, "announcement of a worker cannot be used", withUnits("source error"), "Check which program sends to the registry address of the agent."},
+	{AnnouncementRefused, "announcement_refused", Error, "announcement of a worker cannot be used", withUnits("source error refused"), "Check which program sends to the registry address of the agent."},
 	{ServingOverTarget, "serving_over_target", Info, "serving task is over its latency target", withUnits("task run tail_ms target_ms"), "If it persists while no filling tasks run on the worker, the task needs more processors."},
 	{RunPaced, "run_paced", Info, "pace of a filling task is set", withUnits("task run percent"), noAction},
 	{CapacityReserved, "room_claimed", Info, "runs are preempted to reserve capacity for urgent work", withUnits("job agent tasks"), noAction},
--- a/process/event/field.go
+++ b/process/event/field.go
@@ -8,6 +8,7 @@
 	"age_ms":           "ms",
 	"agent":            "id",
 	"agents":           "count",
+	"refused":          "count",
 	"failures":         "count",
 	"known":            "count",
 	"lines":            "count",
