agent: bound the announcements of targets

Any process that reaches the agent's HTTP address may announce a target. A port out of range or a service name of 200 KB was accepted, and each announcement of another service started up to 4096 goroutines, without a limit on their sum, so that a few hundred announcements take the agent beyond its memory.

The address must be an IP address with a port from 1 to 65535, the name has at most 128 bytes, connections are at most 65536, and all targets of an agent have at most 4096 slots together.

--- a/process/agent/checks.go
+++ b/process/agent/checks.go
@@ -56,13 +56,24 @@
 	}
 }
 
-// announce adds a target; it replaces a different target of the same service.
-func (c *checks) announce(t Target) {
+// announce adds a target; it replaces a different target of the same service. It returns an
+// error if the targets of the agent would have more than maxSlots.
+func (c *checks) announce(t Target) error {
 	c.mu.Lock()
 	old, ok := c.services[t.Service]
 	if ok && old.target == t {
 		c.mu.Unlock()
-		return
+		return nil
+	}
+	slots := t.Slots
+	for name, other := range c.services {
+		if name != t.Service {
+			slots += other.target.Slots
+		}
+	}
+	if slots > maxSlots {
+		c.mu.Unlock()
+		return outcome.Field(outcome.InvalidField, "slots", "the targets of this agent have more than 4096 slots together")
 	}
 	s := newService(c, t)
 	c.services[t.Service] = s
@@ -74,6 +85,7 @@
 	c.agent.ledger.SetService(t.Service, t.Slots, t.Connections)
 	c.agent.log.Emit(event.TargetAnnounced, "target", t.Address, "service", t.Service, "agent", c.agent.cfg.Process.ID)
 	c.agent.node.TriggerReport()
+	return nil
 }
 
 // withdraw removes the target of a service; its running checks finish.
--- a/process/agent/web.go
+++ b/process/agent/web.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net"
+	"net/netip"
 
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
@@ -70,7 +71,9 @@
 	}
 	switch string(ctx.Method()) {
 	case fasthttp.MethodPost:
-		w.agent.checks.announce(t)
+		if err := w.agent.checks.announce(t); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		}
 	case fasthttp.MethodDelete:
 		w.agent.checks.withdraw(t)
 	default:
@@ -78,28 +81,30 @@
 	}
 }
 
-// maxSlots bounds the goroutines that one announcement can start.
-const maxSlots = 4096
+// Limits of the announcements of targets, which any process that reaches the agent may send.
+const (
+	maxSlots        = 4096 // of all targets of an agent; each starts a goroutine
+	maxConnections  = 1 << 16
+	maxServiceBytes = 128
+)
 
 // invalidField returns the name of the first invalid field, or "" if there is none.
 func (t Target) invalidField() string {
 	switch {
-	case t.Service == "":
+	case t.Service == "" || len(t.Service) > maxServiceBytes:
 		return "service"
-	case net.ParseIP(hostOf(t.Address)) == nil:
+	case !isTargetAddress(t.Address):
 		return "address"
 	case t.Slots < 1 || t.Slots > maxSlots:
 		return "slots"
-	case t.Connections < 1:
+	case t.Connections < 1 || t.Connections > maxConnections:
 		return "connections"
 	}
 	return ""
 }
 
-func hostOf(address string) string {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return ""
-	}
-	return host
+// isTargetAddress reports whether an address is an IP address with a port from 1 to 65535.
+func isTargetAddress(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Port() > 0
 }
