connection/peer: test odd addresses and hellos of another writer

An address with a port out of range, which another writer may leave in leader/term, cannot harm: the dial fails at once, and its callers pause between dials.

--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -1,8 +1,12 @@
 package peer
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
+	"os"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -175,3 +179,34 @@
 		}
 	}
 }
+
+// Guards against an address of another writer that makes a dial panic or wait, and against a
+// hello of another writer that makes the event loop use memory without bound.
+func TestOddAddressesAndHellos(t *testing.T) {
+	n := startNetwork(t, "a", "key", nil)
+	for _, address := range []string{"127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1", "", ":::", "127.0.0.1:0", "\x00"} {
+		began := time.Now()
+		_, err := n.Conn(testContext(t), address)
+		require.Equal(t, outcome.ConnectionLost, outcome.From(err).Kind, address)
+		require.Less(t, time.Since(began), DefaultDialTimeout, address)
+	}
+	for name, hello := range map[string][]byte{
+		"nested":  append([]byte("\x81\xa1z"), bytes.Repeat([]byte{0x91}, 1<<20-100)...),
+		"nonce":   []byte("\x81\xa1n\xc6\xff\xff\xff\xff"),
+		"no text": []byte("\xc1"),
+	} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		raw, err := net.Dial("tcp", n.Address())
+		require.NoError(t, err)
+		_, err = raw.Write(frame.Append(nil, frame.Frame{Kind: message.KindHello, Body: hello}))
+		require.NoError(t, err)
+		require.NoError(t, raw.SetReadDeadline(time.Now().Add(5*time.Second)))
+		_, err = io.Copy(io.Discard, raw) // the challenge, then the end of the connection
+		require.False(t, os.IsTimeout(err), name)
+		require.NoError(t, raw.Close())
+		runtime.ReadMemStats(&after)
+		require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(64<<20), name)
+		require.Less(t, after.StackInuse, uint64(64<<20), name)
+	}
+}
