process/schedule: confirm the term before leases of earlier terms count as over

A task of an earlier term could be started while another leader kept its run alive.

Cause: a session expires only if the term was confirmed as the newest one after the lease, but the wait for agents that have not reported ended by time alone. A leader that loses the store right after it began goes on for up to Outage after its last transaction. Meanwhile a newer leader may have a full report of the silent agent and extend its leases.

The test on the code before:

--- FAIL: TestRestoredTasksWaitForConfirmedTerm Should be empty, but was map[{j.0.0.0 4097}:b]

requeueRestored now asks for the same confirmation as Tick does for sessions, and NeedsTermConfirmation makes the leader commit at once, so the wait grows by one transaction.

go test -race on process/schedule and process/lead passes.

--- a/process/schedule/restore.go
+++ b/process/schedule/restore.go
@@ -7,10 +7,15 @@
 
 // requeueRestored requeues the unfinished tasks of earlier terms once no agent can have a
 // run of them that is not in the table: each agent of the previous term has reported, or
-// its leases are known to have expired.
+// its leases are known to have expired. As for sessions, that takes a confirmation of the
+// term: a newer leader may have extended the leases.
 func (t *Table) requeueRestored(now time.Time) {
 	for agent, until := range t.unconfirmedAgents {
-		if now.After(until) {
+		switch {
+		case !now.After(until):
+		case t.termConfirmedAt.Before(until):
+			t.awaitsTermConfirmation = true
+		default:
 			delete(t.unconfirmedAgents, agent)
 			t.unconfirmedExpired = true
 		}
--- a/process/schedule/restore_test.go
+++ b/process/schedule/restore_test.go
@@ -370,3 +370,24 @@
 	list("b", 1)
 	require.Contains(t, out.String(), `"name":"run_conflicting","task":"j.0.0.0","run":1,"agent":"b","other_run":2,"other_agent":"a"`)
 }
+
+// Guards against a task of an earlier term that is started a second time because an agent
+// which has not reported here counts as expired, although it follows the leader of a newer
+// term, which extends its leases: this leader is cut off from the store.
+func TestRestoredTasksWaitForConfirmedTerm(t *testing.T) {
+	b := newTestbench(t, 2)
+	until := b.now().Add(testLease)
+	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, map[string]time.Time{"a": until, "b": until})
+	b.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b")})
+	b.register()
+	b.table.ConfirmTerm(b.now(), ConfirmedByStore)
+	b.clock.Advance(testLease + time.Millisecond)
+	b.table.Tick(b.now())
+	b.report("b", message.Report{Session: 2, Full: true, Worker: workerInfo("b")})
+	require.Empty(t, b.starts())
+	require.True(t, b.table.NeedsTermConfirmation())
+	b.tick()
+	require.False(t, b.table.NeedsTermConfirmation())
+	_, agent := onlyEntry(t, b.starts())
+	require.Equal(t, "b", agent)
+}
