process/lead: confirm a term by stamps that followers return

A leader that the store does not serve could start tasks again whose agent followed a newer leader.

Cause: such a leader confirmed its term as of the time at which data of each follower had last arrived, peer.Conn.LastReceived. That time is wrong in two ways. It is read from the wall clock, while sessions are measured by the clock of the process, which does not follow jumps: after a jump ahead, each follower seemed to be heard until seconds after the end of every lease, for as long as the jump was. And a message shows only that its sender followed when it was sent: data that a slow link or a paused leader held back arrived when the follower may have begun the next term.

The test has a wall clock one minute ahead; on the code before:

--- FAIL: TestSilentFollowerDoesNotConfirmTheTerm Should be false Messages: the follower may have begun a term

Heartbeats to followers now carry a stamp of the leader's clock. A follower returns the latest one at once, in a message Following in place of its ping, and the term is confirmed as of the oldest stamp that the candidates have returned. The follower composes it under the lock of its elector, so it had begun no term at the time of the stamp, whatever happens on the way and to any clock. hasActiveFollower also uses the clock of the process; after a jump ahead, an isolated leader did not resign.

--- a/connection/message/runs.go
+++ b/connection/message/runs.go
@@ -17,6 +17,7 @@
 	KindFindLeader Kind = 27 // agent → entry: asks for the leader; reply is Leader
 	KindAnnounce   Kind = 28 // leader → entry: a term has begun
 	KindLookup     Kind = 29 // entry → leader: asks for the record of a job; body is JobRef, reply LookupReply
+	KindFollowing  Kind = 30 // entry → leader: still follows
 )
 
 // WorkerInfo describes the worker beside an agent.
@@ -197,6 +198,16 @@
 	Agents        []Summary     `msgpack:"s,omitempty"` // the changed ones; all if AllAgents is set
 	RemovedAgents []string      `msgpack:"g,omitempty"`
 	AllAgents     bool          `msgpack:"y,omitempty"`
+	// Stamp is the time of sending by a clock that only the leader reads; followers return
+	// it in Following. 0: none.
+	Stamp int64 `msgpack:"z,omitempty"`
+}
+
+// Following tells the leader that an entry has begun no newer term when it sent this. Stamp is
+// the latest that it has received in an update of the term; 0: none.
+type Following struct {
+	Term  uint64 `msgpack:"t"`
+	Stamp int64  `msgpack:"z,omitempty"`
 }
 
 // Submitted notifies the leader of a recorded job.
--- a/connection/peer/conn.go
+++ b/connection/peer/conn.go
@@ -66,9 +66,6 @@
 // Remote returns the other side's hello; nil before the handshake is complete.
 func (c *Conn) Remote() *message.Hello { return c.remote.Load() }
 
-// LastReceived returns when data last arrived from the other side.
-func (c *Conn) LastReceived() time.Time { return time.Unix(0, c.lastRecv.Load()) }
-
 // Pending is a call whose request was sent; not safe for concurrent use.
 type Pending struct {
 	conn *Conn
--- a/process/lead/followers.go
+++ b/process/lead/followers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
@@ -49,7 +50,7 @@
 	update.Jobs, update.Waiting, update.Agents, update.RemovedAgents = jobs, waiting, agents, removed
 	conns := l.followerConns()
 	if heartbeat {
-		update.Entries = l.entryList()
+		update.Entries, update.Stamp = l.entryList(), l.stamp()
 		l.mu.Lock()
 		l.mu.lastUpdate = l.node.cfg.Clock.Now()
 		l.mu.Unlock()
@@ -87,15 +88,16 @@
 func (l *leaderTerm) addFollower(conn *peer.Conn, f message.Follow) {
 	jobs, waiting := l.table.Snapshot()
 	l.mu.Lock()
-	l.mu.followers[conn] = f
+	l.mu.followers[conn] = &follower{Follow: f, receivedAt: l.node.cfg.Clock.Now()}
 	l.mu.entriesVersion++
 	if f.Draining {
 		delete(l.mu.candidates, f.Entry.ID)
-	} else {
-		l.mu.candidates[f.Entry.ID] = conn
+	} else if _, known := l.mu.candidates[f.Entry.ID]; !known {
+		l.mu.candidates[f.Entry.ID] = time.Time{}
 	}
 	l.mu.Unlock()
 	update := l.newUpdate()
+	update.Stamp = l.stamp()
 	update.Jobs, update.Waiting = jobs, waiting
 	update.Agents, update.AllAgents, update.Entries = l.table.AgentSummaries(), true, l.entryList()
 	_ = conn.Notify(message.KindUpdate, &update)
--- a/process/lead/handle.go
+++ b/process/lead/handle.go
@@ -17,6 +17,8 @@
 		serve(r, func(r peer.Request, report *message.Report) { n.handleReport(ctx, r, report) })
 	case message.KindFollow:
 		serve(r, n.handleFollow)
+	case message.KindFollowing:
+		serve(r, n.handleFollowing)
 	case message.KindUpdate:
 		serve(r, func(_ peer.Request, u *message.Update) { n.applyUpdate(u) })
 	case message.KindSubmitted:
@@ -71,6 +73,12 @@
 	l.addFollower(r.Conn, *f)
 }
 
+func (n *Node) handleFollowing(r peer.Request, f *message.Following) {
+	if l := n.ownTerm.Load(); l != nil && l.number == f.Term {
+		l.recordFollowing(r.Conn, f.Stamp)
+	}
+}
+
 func (n *Node) handleSubmitted(_ peer.Request, s *message.Submitted) {
 	l := n.loadedTerm()
 	if l == nil || s.Definition == nil {
--- a/process/lead/leader_conn.go
+++ b/process/lead/leader_conn.go
@@ -20,7 +20,10 @@
 	dialing    bool
 	dialedAt   time.Time // start of the last attempt to open one
 	receivedAt time.Time // when the leader accepted this follower or last sent an update
-	pingedAt   time.Time
+	// reportedAt is when the leader was last told that this entry follows; stamp is the latest
+	// of its stamps, reportedStamp the latest returned.
+	reportedAt           time.Time
+	stamp, reportedStamp int64
 }
 
 // notice is a message to the leader, repeated until one of its updates shows the effect.
@@ -36,7 +39,7 @@
 	maxNotices     = 4096                   // the leader finds the jobs and cancellations of dropped notices in the store
 )
 
-// followLeader keeps the connection to the leader open, sends pings and repeats notices. It
+// followLeader keeps the connection to the leader open, returns its stamps and repeats notices. It
 // does nothing while the newest term is this process's own.
 func (n *Node) followLeader(now time.Time) {
 	n.mu.Lock()
@@ -56,18 +59,19 @@
 	}
 	conn := c.conn
 	var due []*notice
-	ping := false
+	var following *message.Following
 	if !unreachable {
 		due = n.dueNotices(now)
-		if ping = now.Sub(c.pingedAt) >= n.cfg.Timing.LeaderTimeout/heartbeatsPerTimeout; ping {
-			c.pingedAt = now
+		if c.stamp > c.reportedStamp || now.Sub(c.reportedAt) >= n.cfg.Timing.LeaderTimeout/heartbeatsPerTimeout {
+			c.reportedAt, c.reportedStamp = now, c.stamp
+			following = &message.Following{Term: c.term, Stamp: c.stamp}
 		}
 	} else {
 		n.leaderReady.Store(false)
 	}
 	n.mu.Unlock()
-	if ping {
-		_ = conn.Notify(message.KindPing, message.Ping{SentMs: now.UnixMilli()}) // the next ping replaces a lost one
+	if following != nil {
+		_ = conn.Notify(message.KindFollowing, following) // the next one replaces a lost one
 	}
 	if dial {
 		if conn != nil {
@@ -177,6 +181,9 @@
 	address := ""
 	if n.leader != nil && n.leader.term == u.Term {
 		n.leader.receivedAt, address = now, n.leader.address
+		if !u.Resigned {
+			n.leader.stamp = max(n.leader.stamp, u.Stamp)
+		}
 		n.leaderReady.Store(!u.Loading && !u.Resigned)
 	}
 	for _, info := range u.Entries {
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -36,6 +36,7 @@
 	number uint64
 	table  *schedule.Table
 	writer *jobstore.Writer
+	begun  time.Time // from which stamps count
 
 	loaded atomic.Bool // the table holds the jobs of earlier terms
 	// Each is set while its work is queued or running; dispatchPending requests one more pass.
@@ -58,10 +59,13 @@
 type termState struct {
 	lockrank.Mutex                       // guards the fields below
 	conns          map[string]*peer.Conn // by id of the agent
-	followers      map[*peer.Conn]message.Follow
-	candidates     map[string]*peer.Conn // entries that may claim the next term, by id: latest connection, maybe closed
-	entriesVersion uint64                // number of changes of the followers
-	entriesSent    map[string]uint64     // entriesVersion last sent to each agent, by id
+	followers      map[*peer.Conn]*follower
+	// candidates are the entries that may claim the next term, by id, with the latest time by
+	// the clock of this process at which each is known to have followed. They stay when their
+	// connection closes. Zero: no message has shown it since the entry followed.
+	candidates     map[string]time.Time
+	entriesVersion uint64            // number of changes of the followers
+	entriesSent    map[string]uint64 // entriesVersion last sent to each agent, by id
 	// validUntil is when the right to grant leases expires: Timing.Outage after the start of
 	// the last confirmed transaction, or of the term.
 	validUntil        time.Time
@@ -80,6 +84,12 @@
 	previous term.View
 }
 
+// follower is an entry that follows over one connection.
+type follower struct {
+	message.Follow
+	receivedAt time.Time // when its latest message arrived
+}
+
 // pendingBatch is a transaction that is being committed or whose outcome is uncertain.
 type pendingBatch struct {
 	batch     *jobstore.Batch
@@ -98,12 +108,13 @@
 	})
 	l.writer = jobstore.NewWriter(n.cfg.Store, jobstore.Fence{Key: term.Key, Revision: view.Revision})
 	l.mu.Mutex = lockrank.NewMutex(lockrank.RankSessions)
-	l.mu.conns, l.mu.followers = map[string]*peer.Conn{}, map[*peer.Conn]message.Follow{}
-	l.mu.candidates, l.mu.entriesSent = map[string]*peer.Conn{}, map[string]uint64{}
+	l.mu.conns, l.mu.followers = map[string]*peer.Conn{}, map[*peer.Conn]*follower{}
+	l.mu.candidates, l.mu.entriesSent = map[string]time.Time{}, map[string]uint64{}
 	l.mu.previous = previous
 	l.mu.heartbeatRevision = view.HeartbeatRevision
 	l.heartbeat.Store(view.Heartbeat.Number)
 	now := n.cfg.Clock.Now()
+	l.begun = now
 	l.mu.validUntil = now.Add(n.cfg.Timing.Outage)
 	l.mu.lastSuccess, l.mu.inboxReadAt, l.mu.purgedAt = now, now, now
 	return l
@@ -235,25 +246,50 @@
 	}
 }
 
+// stamp returns the current time for an update.
+func (l *leaderTerm) stamp() int64 {
+	return l.node.cfg.Clock.Now().Sub(l.begun).Nanoseconds() + 1 // 0 means none
+}
+
+// recordFollowing records that a follower has begun no newer term when it received the stamp.
+// The time of arrival shows less: the message may have been on its way, or this process
+// paused, while the follower began the next term.
+func (l *leaderTerm) recordFollowing(conn *peer.Conn, stamp int64) {
+	now := l.node.cfg.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f := l.mu.followers[conn]
+	if f == nil {
+		return
+	}
+	f.receivedAt = now
+	latest, isCandidate := l.mu.candidates[f.Entry.ID]
+	if at := l.begun.Add(time.Duration(stamp - 1)); isCandidate && stamp > 0 && at.After(latest) && !at.After(now) {
+		l.mu.candidates[f.Entry.ID] = at
+	}
+}
+
 // confirmTerm confirms the term as of the last time at which all candidates followed it.
 func (l *leaderTerm) confirmTerm() {
 	l.mu.Lock()
 	var confirmedAt time.Time
-	for _, c := range l.mu.candidates {
-		if received := c.LastReceived(); confirmedAt.IsZero() || received.Before(confirmedAt) {
-			confirmedAt = received
+	first := true
+	for _, at := range l.mu.candidates {
+		if first || at.Before(confirmedAt) {
+			first, confirmedAt = false, at
 		}
 	}
 	l.mu.Unlock()
 	l.table.ConfirmTerm(confirmedAt, schedule.ConfirmedByFollowers)
 }
 
-// hasActiveFollower reports whether a follower sent anything within 2/3 of the leader timeout.
+// hasActiveFollower reports whether a message of a follower arrived within 2/3 of the leader
+// timeout.
 func (l *leaderTerm) hasActiveFollower(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for c := range l.mu.followers {
-		if !c.Closed() && now.Sub(c.LastReceived()) < l.node.cfg.Timing.LeaderTimeout*2/3 {
+	for c, f := range l.mu.followers {
+		if !c.Closed() && now.Sub(f.receivedAt) < l.node.cfg.Timing.LeaderTimeout*2/3 {
 			return true
 		}
 	}
@@ -366,7 +402,7 @@
 		}
 		if best.Entry.ID == "" || f.ClaimDelayMs < best.ClaimDelayMs ||
 			f.ClaimDelayMs == best.ClaimDelayMs && f.Entry.ID < best.Entry.ID {
-			best = f
+			best = f.Follow
 		}
 	}
 	return best.Entry.ID
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -84,7 +84,7 @@
 
 const (
 	tickInterval         = 20 * time.Millisecond // resolution of a node's timers
-	heartbeatsPerTimeout = 4                     // heartbeats of a leader, and pings of a follower, per LeaderTimeout
+	heartbeatsPerTimeout = 4                     // heartbeats of a leader, and messages of a follower without news, per LeaderTimeout
 	storePoolWorkers     = 8                     // concurrent calls on the store pool
 	maxStoreLatency      = 80 * time.Millisecond // most store latency that counts for the claim delay
 	storePoolQueue       = 256                   // calls that wait for the store pool
--- a/process/lead/terms_test.go
+++ b/process/lead/terms_test.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/connection/peer"
 	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/process/pool"
@@ -104,8 +105,8 @@
 func newProcess(t *testing.T, id string, store platform.Store, clock clockwork.Clock) *Node {
 	t.Helper()
 	startOfProcess++
-	self := message.EntryInfo{ID: id, Address: "127.0.0.1:1", StartedMs: startOfProcess}
-	workers := pool.New(2, 16)
+	self := message.EntryInfo{ID: id, StartedMs: startOfProcess}
+	workers := pool.New(2, 64)
 	n := New(Config{
 		Self: func() message.EntryInfo { return self }, Clock: clock, Store: store, Pool: workers, Metrics: metrics.New(),
 		ConfigVersion: func() uint64 { return 1 }, Timing: testTiming,
@@ -117,6 +118,26 @@
 	return n
 }
 
+// listen connects a node to others. It is called before the first step of the node.
+func listen(t *testing.T, n *Node) *Node {
+	t.Helper()
+	self := n.cfg.Self()
+	n.cfg.Net = peer.New(peer.Config{
+		Listen: "127.0.0.1:0", Key: []byte("key"), Hello: func() message.Hello { return message.Hello{ID: self.ID, Role: message.RoleEntry} },
+	}, n.cfg.Pool, nodeHandler{n})
+	require.NoError(t, n.cfg.Net.Start())
+	t.Cleanup(func() { require.NoError(t, n.cfg.Net.Close()) })
+	self.Address = n.cfg.Net.Address()
+	n.cfg.Self = func() message.EntryInfo { return self }
+	return n
+}
+
+// nodeHandler passes the messages of other processes to a node.
+type nodeHandler struct{ node *Node }
+
+func (h nodeHandler) Handle(ctx context.Context, r peer.Request) { h.node.Handle(ctx, r) }
+func (h nodeHandler) Queue(peer.Request) bool                    { return false }
+
 // claimTerm reads the store and claims the next term.
 func claimTerm(t *testing.T, n *Node) *leaderTerm {
 	t.Helper()
@@ -203,3 +224,51 @@
 	require.Equal(t, uint64(2), l.number)
 	require.GreaterOrEqual(t, waitForEarlier(t, l, clock), testTiming.Outage+testTiming.Lease)
 }
+
+// follow makes an entry follow a leader and waits until the leader has recorded it.
+func follow(t *testing.T, n *Node, l *leaderTerm) {
+	t.Helper()
+	n.executeStep(t.Context(), term.ReadStore)
+	require.Eventually(t, func() bool {
+		n.followLeader(n.cfg.Clock.Now())
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.leader != nil && n.leader.conn != nil
+	}, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return l.hasActiveFollower(n.cfg.Clock.Now()) }, 10*time.Second, time.Millisecond)
+}
+
+// expiresSilentAgent reports whether a leader ends the session of an agent that last reported
+// longer ago than its lease, when only the followers can confirm the term.
+func expiresSilentAgent(l *leaderTerm, now time.Time) bool {
+	before := l.table.Load().Agents
+	l.confirmTerm()
+	l.table.Tick(now)
+	return l.table.Load().Agents < before
+}
+
+// Guards against two runs of a task when a leader that is cut off from the store takes its
+// followers' silence for consent. It took the wall clock time at which data of a follower had
+// last arrived, which lies ahead of the leader's clock after a jump of the wall clock, and is
+// later than the message was sent if the leader was paused or the network held it back.
+func TestSilentFollowerDoesNotConfirmTheTerm(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Now().Add(-time.Minute)) // the wall clock has jumped ahead since the start
+	store := newMemoryStore(t)
+	l := claimTerm(t, listen(t, newProcess(t, "one", store, clock)))
+	follower := listen(t, newProcess(t, "two", store, clock))
+	follow(t, follower, l)
+	report := message.Report{Agent: "a", Session: 1, Sequence: 1, Full: true, Worker: &message.WorkerInfo{ID: "w", Reachable: true}}
+	require.NotZero(t, l.table.ApplyReport(clock.Now(), &report).LeaseMs)
+
+	clock.Advance(testTiming.Lease + testTiming.Lease/10)
+	require.False(t, expiresSilentAgent(l, clock.Now()), "the follower may have begun a term")
+	follower.followLeader(clock.Now())
+	require.Eventually(t, func() bool { return l.hasActiveFollower(clock.Now()) }, 10*time.Second, time.Millisecond)
+	require.False(t, expiresSilentAgent(l, clock.Now()), "the message may be as old as the stamp that it returns")
+
+	l.sendUpdates(true)
+	require.Eventually(t, func() bool {
+		follower.followLeader(clock.Now())
+		return expiresSilentAgent(l, clock.Now())
+	}, 10*time.Second, time.Millisecond, "the follower has returned a stamp from after the lease")
+}
