process/term: bind entries that do not follow by the heartbeat in the store

A leader cut off from the store could start tasks a second time although an added, replaced or restarted entry had begun the next term.

Cause: such a leader takes it from its followers that no newer term has begun. An entry that has never followed it is none of them, and claimed after the leader timeout, 1.5 s on the users' platform. An agent whose report to the old leader failed went over to the new one, which extended its leases; the old leader ended its session a lease later and started its tasks on agents that it still had.

The tests on the code before:

--- FAIL: TestUnknownEntryDoesNotLeadBesideAConfirmedTerm Should be false Messages: 7.18s after the cut --- FAIL: TestUnknownEntryWaitsForTheHeartbeat "3s" is not greater than or equal to "9.625s"

Followers now confirm a term for two task_ms after the last transaction, at most outage_ms. An entry that the leader in view has not accepted as a follower claims only if the heartbeat in the store has not advanced for as long, and its claim expects that heartbeat, so that a transaction of the leader in between makes it fail. A leader that is known to have ended (it resigned, its process refuses connections or says that it does not lead) is replaced at once as before. The leader counts a follower as a candidate before it replies, since from the reply on the entry claims after the leader timeout.

Cost: on the users' platform (task_ms 4 s, outage_ms 8 s) followers replace a leader as before; a leader that loses power while no entry follows it is replaced after 8 s instead of 1.5 s. With the defaults (30 s, 1 h) that takes 60 s, and in a store outage the tasks of an agent that dies more than about 30 s after the last transaction wait for the store.

go test -race on process/lead, term and entry passes.

--- a/process/lead/followers.go
+++ b/process/lead/followers.go
@@ -83,6 +83,17 @@
 	return list
 }
 
+// addCandidate registers an entry that may claim the next term, or removes one that is draining.
+func (l *leaderTerm) addCandidate(f *message.Follow) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if f.Draining {
+		delete(l.mu.candidates, f.Entry.ID)
+	} else if _, known := l.mu.candidates[f.Entry.ID]; !known {
+		l.mu.candidates[f.Entry.ID] = time.Time{}
+	}
+}
+
 // addFollower registers a follower and sends it the whole state. One that is draining gets
 // updates but is no candidate for the next term.
 func (l *leaderTerm) addFollower(conn *peer.Conn, f message.Follow) {
@@ -90,11 +101,6 @@
 	l.mu.Lock()
 	l.mu.followers[conn] = &follower{Follow: f, receivedAt: l.node.cfg.Clock.Now()}
 	l.mu.entriesVersion++
-	if f.Draining {
-		delete(l.mu.candidates, f.Entry.ID)
-	} else if _, known := l.mu.candidates[f.Entry.ID]; !known {
-		l.mu.candidates[f.Entry.ID] = time.Time{}
-	}
 	l.mu.Unlock()
 	update := l.newUpdate()
 	update.Stamp = l.stamp()
--- a/process/lead/handle.go
+++ b/process/lead/handle.go
@@ -65,6 +65,7 @@
 		r.Reply(message.FollowReply{Term: n.Leader().Term})
 		return
 	}
+	l.addCandidate(f) // before the reply, from which on the entry may claim the next term after a timeout
 	r.Reply(message.FollowReply{Term: l.number, Leading: true})
 	n.mu.Lock()
 	n.knownEntries[f.Entry.ID] = f.Entry
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -269,7 +269,8 @@
 	}
 }
 
-// confirmTerm confirms the term as of the last time at which all candidates followed it.
+// confirmTerm confirms the term as of the last time at which all candidates followed it, at most
+// Timing.followersAlone after the last confirmed transaction.
 func (l *leaderTerm) confirmTerm() {
 	l.mu.Lock()
 	var confirmedAt time.Time
@@ -279,7 +280,12 @@
 			first, confirmedAt = false, at
 		}
 	}
+	// Entries that do not follow are bound by the heartbeats in the store only.
+	limit := l.mu.validUntil.Add(l.node.cfg.Timing.followersAlone() - l.node.cfg.Timing.Outage)
 	l.mu.Unlock()
+	if confirmedAt.After(limit) {
+		confirmedAt = limit
+	}
 	l.table.ConfirmTerm(confirmedAt, schedule.ConfirmedByFollowers)
 }
 
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -55,6 +55,15 @@
 	StoreLatencyFactor int
 }
 
+// followersAlone returns for how long after the start of its last confirmed transaction a leader
+// takes it from its followers that no newer term has begun. As long after the leader's last
+// heartbeat, an entry that has not followed the leader replaces it.
+func (t *Timing) followersAlone() time.Duration { return min(t.Outage, followersAloneLeases*t.Lease) }
+
+// followersAloneLeases is followersAlone in units of Timing.Lease. Two leases are enough to
+// replace an agent that dies within the first one after the store has failed.
+const followersAloneLeases = 2
+
 // Config holds the settings and dependencies of a Node. The functions are called from any
 // goroutine; Self, Profile, Teams and AdmitLink also under locks, so they must not block.
 type Config struct {
@@ -124,7 +133,7 @@
 	}
 	n.elector = term.NewElector(term.Timing{
 		LeaderTimeout: cfg.Timing.LeaderTimeout, PollInterval: cfg.Timing.LeaderTimeout / heartbeatsPerTimeout,
-		ClaimDelay: cfg.Timing.ClaimDelay,
+		ClaimDelay: cfg.Timing.ClaimDelay, UnknownTimeout: cfg.Timing.followersAlone(),
 	})
 	n.breaker.clock, n.breaker.openAfter = cfg.Clock, cfg.Timing.CallTimeout
 	n.storePool = pool.New(storePoolWorkers, storePoolQueue)
@@ -303,11 +312,11 @@
 		return
 	}
 	n.mu.Lock()
-	view := n.elector.View()
+	view, followed := n.elector.View(), n.elector.Followed()
 	n.mu.Unlock()
 	// The view is the one that was read last, so that a term which another entry has just
 	// begun is not claimed again.
-	next, err := term.Claim(bounded, n.cfg.Store, view, n.cfg.Self())
+	next, err := term.Claim(bounded, n.cfg.Store, view, n.cfg.Self(), followed)
 	if err != nil {
 		n.cfg.Log.Emit(event.TermNotBegun, "term", view.Term+1, "error", err)
 		n.readTerm(ctx)
--- a/process/lead/terms_test.go
+++ b/process/lead/terms_test.go
@@ -92,6 +92,19 @@
 	return nil, s.revision, nil
 }
 
+// cutStore is the store as one process reaches it.
+type cutStore struct {
+	*memoryStore
+	cut bool
+}
+
+func (s *cutStore) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	if s.cut {
+		return 0, platform.ErrUnavailable
+	}
+	return s.memoryStore.Commit(ctx, txn)
+}
+
 // Settings of the nodes in tests of several terms.
 var testTiming = Timing{
 	Lease: 4 * time.Second, ReportInterval: 500 * time.Millisecond, LeaderTimeout: 1500 * time.Millisecond,
@@ -238,6 +251,13 @@
 	require.Eventually(t, func() bool { return l.hasActiveFollower(n.cfg.Clock.Now()) }, 10*time.Second, time.Millisecond)
 }
 
+// join makes an agent without runs report to a leader.
+func join(t *testing.T, l *leaderTerm, agent string) {
+	t.Helper()
+	report := message.Report{Agent: agent, Session: 1, Sequence: 1, Full: true, Worker: &message.WorkerInfo{ID: agent, Reachable: true}}
+	require.NotZero(t, l.table.ApplyReport(l.node.cfg.Clock.Now(), &report).LeaseMs)
+}
+
 // expiresSilentAgent reports whether a leader ends the session of an agent that last reported
 // longer ago than its lease, when only the followers can confirm the term.
 func expiresSilentAgent(l *leaderTerm, now time.Time) bool {
@@ -257,8 +277,7 @@
 	l := claimTerm(t, listen(t, newProcess(t, "one", store, clock)))
 	follower := listen(t, newProcess(t, "two", store, clock))
 	follow(t, follower, l)
-	report := message.Report{Agent: "a", Session: 1, Sequence: 1, Full: true, Worker: &message.WorkerInfo{ID: "w", Reachable: true}}
-	require.NotZero(t, l.table.ApplyReport(clock.Now(), &report).LeaseMs)
+	join(t, l, "a")
 
 	clock.Advance(testTiming.Lease + testTiming.Lease/10)
 	require.False(t, expiresSilentAgent(l, clock.Now()), "the follower may have begun a term")
@@ -272,3 +291,43 @@
 		return expiresSilentAgent(l, clock.Now())
 	}, 10*time.Second, time.Millisecond, "the follower has returned a stamp from after the lease")
 }
+
+// Guards against two runs of a task when a leader is cut off from the store and confirms its
+// term by its followers, while an entry that does not follow it, such as an added one, has begun
+// the next term. An agent that went over to that one must not count as expired at the old leader.
+func TestUnknownEntryDoesNotLeadBesideAConfirmedTerm(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Now())
+	store := newMemoryStore(t)
+	cut := &cutStore{memoryStore: store}
+	l := claimTerm(t, listen(t, newProcess(t, "one", cut, clock)))
+	follower := listen(t, newProcess(t, "two", store, clock))
+	follow(t, follower, l)
+	l.write(t.Context())
+	cut.cut = true
+	cutAt := clock.Now()
+
+	added := newProcess(t, "three", store, clock)
+	reported := false
+	for added.loadedTerm() == nil || l.valid() {
+		require.Less(t, clock.Since(cutAt), time.Minute)
+		clock.Advance(20 * time.Millisecond)
+		if clock.Since(cutAt) >= 3*time.Second && !reported {
+			reported = true
+			join(t, l, "a") // its last report here: from now on it may follow the other entry
+		}
+		if step := added.elector.Next(clock.Now()); step != term.Nothing {
+			added.executeStep(t.Context(), step)
+		}
+		sent := clock.Now()
+		l.sendUpdates(true)
+		require.Eventually(t, func() bool {
+			follower.followLeader(clock.Now())
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return !l.mu.candidates["two"].Before(sent)
+		}, 10*time.Second, 100*time.Microsecond)
+		expired := expiresSilentAgent(l, clock.Now())
+		require.False(t, expired && added.loadedTerm() != nil, "%s after the cut", clock.Since(cutAt))
+	}
+	require.Less(t, clock.Since(cutAt), testTiming.Outage+testTiming.LeaderTimeout)
+}
--- a/process/term/elector.go
+++ b/process/term/elector.go
@@ -5,8 +5,12 @@
 // Timing holds the durations that govern the choice of a leader.
 type Timing struct {
 	LeaderTimeout time.Duration // time without a heartbeat after which a leader counts as failed
-	PollInterval  time.Duration // between two reads of the store while the leader is suspected
-	ClaimDelay    time.Duration // how long this entry waits before it claims a vacant term; shorter delays go first
+	// UnknownTimeout is the time without a new heartbeat in the store after which a leader that
+	// this entry has never followed counts as failed. That leader does not count this entry
+	// among those that may claim the next term; see Claim.
+	UnknownTimeout time.Duration
+	PollInterval   time.Duration // between two reads of the store while the leader is suspected
+	ClaimDelay     time.Duration // how long this entry waits before it claims a vacant term; shorter delays go first
 }
 
 // storeRecoveryDelay is how long the store must have served this entry before it
@@ -33,6 +37,7 @@
 	view           View
 	readOK         bool
 	readAt         time.Time // end of the last read
+	followed       bool      // the leader in view has accepted this entry as a follower
 	receivedAt     time.Time // last message of the leader in view, or the arrival of its term
 	heartbeat      uint64    // highest heartbeat number known
 	advancedAt     time.Time // when that number became known
@@ -71,6 +76,9 @@
 // TermEnded reports whether the leader in view is known to lead no longer.
 func (e *Elector) TermEnded() bool { return !e.endedAt.IsZero() }
 
+// Followed reports whether the leader in view has accepted this entry as a follower.
+func (e *Elector) Followed() bool { return e.followed }
+
 // LeaderDegraded reports whether the leader in view has reported that the store does
 // not serve it, or a leader did until less than gracePeriod ago.
 func (e *Elector) LeaderDegraded(now time.Time, gracePeriod time.Duration) bool {
@@ -83,14 +91,15 @@
 	}
 }
 
-// RecordHeartbeat records that this entry received something from the leader of a term.
+// RecordHeartbeat records that this entry, a follower, received something from the leader of a
+// term.
 // degraded is set if that leader reports that the store does not serve it. A term other than
 // the one in view is ignored.
 func (e *Elector) RecordHeartbeat(now time.Time, term, heartbeat uint64, degraded bool) {
 	if term != e.view.Term {
 		return // the store or an announcement has to name the holder first
 	}
-	e.receivedAt, e.endedAt = now, time.Time{}
+	e.followed, e.receivedAt, e.endedAt = true, now, time.Time{}
 	if heartbeat > e.heartbeat {
 		e.heartbeat, e.advancedAt = heartbeat, now
 	}
@@ -127,7 +136,7 @@
 		return
 	}
 	if v.Term > e.view.Term {
-		e.view = v
+		e.view, e.followed = v, false
 		e.receivedAt, e.endedAt = now, time.Time{}
 		e.recordRecovery(now)
 		e.heartbeat, e.advancedAt = v.Heartbeat.Number, now
@@ -184,7 +193,11 @@
 		// The reads begin before the timeout, so that it is known at the timeout for how long
 		// the heartbeat number has not risen.
 		timedOut := now.Sub(e.receivedAt) >= e.timing.LeaderTimeout+e.timing.ClaimDelay
-		return true, timedOut && now.Sub(e.advancedAt) >= e.timing.LeaderTimeout*2/suspectDivisor
+		stalled := e.timing.LeaderTimeout * 2 / suspectDivisor
+		if !e.followed {
+			stalled = max(stalled, e.timing.UnknownTimeout)
+		}
+		return true, timedOut && now.Sub(e.advancedAt) >= stalled
 	}
 	return false, false
 }
--- a/process/term/term_test.go
+++ b/process/term/term_test.go
@@ -9,7 +9,7 @@
 	"camphorhead.example/camphorhead/connection/message"
 )
 
-var timing = Timing{LeaderTimeout: 1500 * time.Millisecond, PollInterval: 300 * time.Millisecond, ClaimDelay: 100 * time.Millisecond}
+var timing = Timing{LeaderTimeout: 1500 * time.Millisecond, PollInterval: 300 * time.Millisecond, ClaimDelay: 100 * time.Millisecond, UnknownTimeout: 8 * time.Second}
 
 func viewOf(number, heartbeat uint64) View {
 	return View{
@@ -179,3 +179,32 @@
 		}
 	}
 }
+
+// Guards against an entry that replaces a leader which it has never followed, while that leader
+// relies on its followers: it may be cut off from the store and from this entry only. If the
+// leader is known to have ended, nothing is waited for.
+func TestUnknownEntryWaitsForTheHeartbeat(t *testing.T) {
+	start := time.Unix(1000, 0)
+	const lastHeartbeat = 2 * time.Second
+	e := NewElector(timing)
+	e.RecordView(start, viewOf(3, 1))
+	at, ok := run(&e, start, time.Minute, func(now time.Time, step Step) {
+		if step == ReadStore {
+			e.RecordView(now, viewOf(3, 1+uint64(min(now.Sub(start), lastHeartbeat)/(timing.LeaderTimeout/4))))
+		}
+	})
+	require.True(t, ok)
+	require.GreaterOrEqual(t, at, lastHeartbeat-timing.LeaderTimeout/4+timing.UnknownTimeout)
+	require.Less(t, at, lastHeartbeat+timing.UnknownTimeout+timing.LeaderTimeout)
+
+	e = NewElector(timing)
+	e.RecordView(start, viewOf(3, 1))
+	e.RecordTermEnd(start, 3)
+	at, ok = run(&e, start, time.Minute, func(now time.Time, step Step) {
+		if step == ReadStore {
+			e.RecordView(now, viewOf(3, 1))
+		}
+	})
+	require.True(t, ok)
+	require.Less(t, at, timing.LeaderTimeout/2)
+}
