--- a/process/lead/followers.go
+++ b/process/lead/followers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
@@ -49,7 +50,7 @@
 	update.Jobs, update.Waiting, update.Agents, update.RemovedAgents = jobs, waiting, agents, removed
 	conns := l.followerConns()
 	if heartbeat {
-		update.Entries = l.entryList()
+		update.Entries, update.Stamp = l.entryList(), l.stamp()
 		l.mu.Lock()
 		l.mu.lastUpdate = l.node.cfg.Clock.Now()
 		l.mu.Unlock()
@@ -82,20 +83,27 @@
 	return list
 }
 
+// addCandidate registers an entry that may claim the next term, or removes one that is draining.
+func (l *leaderTerm) addCandidate(f *message.Follow) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if f.Draining {
+		delete(l.mu.candidates, f.Entry.ID)
+	} else if _, known := l.mu.candidates[f.Entry.ID]; !known {
+		l.mu.candidates[f.Entry.ID] = time.Time{}
+	}
+}
+
 // addFollower registers a follower and sends it the whole state. One that is draining gets
 // updates but is no candidate for the next term.
 func (l *leaderTerm) addFollower(conn *peer.Conn, f message.Follow) {
 	jobs, waiting := l.table.Snapshot()
 	l.mu.Lock()
-	l.mu.followers[conn] = f
+	l.mu.followers[conn] = &follower{Follow: f, receivedAt: l.node.cfg.Clock.Now()}
 	l.mu.entriesVersion++
-	if f.Draining {
-		delete(l.mu.candidates, f.Entry.ID)
-	} else {
-		l.mu.candidates[f.Entry.ID] = conn
-	}
 	l.mu.Unlock()
 	update := l.newUpdate()
+	update.Stamp = l.stamp()
 	update.Jobs, update.Waiting = jobs, waiting
 	update.Agents, update.AllAgents, update.Entries = l.table.AgentSummaries(), true, l.entryList()
 	_ = conn.Notify(message.KindUpdate, &update)
--- a/process/lead/terms_test.go
+++ b/process/lead/terms_test.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/connection/peer"
 	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/process/pool"
@@ -91,6 +92,19 @@
 	return nil, s.revision, nil
 }
 
+// cutStore is the store as one process reaches it.
+type cutStore struct {
+	*memoryStore
+	cut bool
+}
+
+func (s *cutStore) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	if s.cut {
+		return 0, platform.ErrUnavailable
+	}
+	return s.memoryStore.Commit(ctx, txn)
+}
+
 // Settings of the nodes in tests of several terms.
 var testTiming = Timing{
 	Lease: 4 * time.Second, ReportInterval: 500 * time.Millisecond, LeaderTimeout: 1500 * time.Millisecond,
@@ -104,8 +118,8 @@
 func newProcess(t *testing.T, id string, store platform.Store, clock clockwork.Clock) *Node {
 	t.Helper()
 	startOfProcess++
-	self := message.EntryInfo{ID: id, Address: "127.0.0.1:1", StartedMs: startOfProcess}
-	workers := pool.New(2, 16)
+	self := message.EntryInfo{ID: id, StartedMs: startOfProcess}
+	workers := pool.New(2, 64)
 	n := New(Config{
 		Self: func() message.EntryInfo { return self }, Clock: clock, Store: store, Pool: workers, Metrics: metrics.New(),
 		ConfigVersion: func() uint64 { return 1 }, Timing: testTiming,
@@ -117,6 +131,26 @@
 	return n
 }
 
+// listen connects a node to others. It is called before the first step of the node.
+func listen(t *testing.T, n *Node) *Node {
+	t.Helper()
+	self := n.cfg.Self()
+	n.cfg.Net = peer.New(peer.Config{
+		Listen: "127.0.0.1:0", Key: []byte("key"), Hello: func() message.Hello { return message.Hello{ID: self.ID, Role: message.RoleEntry} },
+	}, n.cfg.Pool, nodeHandler{n})
+	require.NoError(t, n.cfg.Net.Start())
+	t.Cleanup(func() { require.NoError(t, n.cfg.Net.Close()) })
+	self.Address = n.cfg.Net.Address()
+	n.cfg.Self = func() message.EntryInfo { return self }
+	return n
+}
+
+// nodeHandler passes the messages of other processes to a node.
+type nodeHandler struct{ node *Node }
+
+func (h nodeHandler) Handle(ctx context.Context, r peer.Request) { h.node.Handle(ctx, r) }
+func (h nodeHandler) Queue(peer.Request) bool                    { return false }
+
 // claimTerm reads the store and claims the next term.
 func claimTerm(t *testing.T, n *Node) *leaderTerm {
 	t.Helper()
@@ -203,3 +237,97 @@
 	require.Equal(t, uint64(2), l.number)
 	require.GreaterOrEqual(t, waitForEarlier(t, l, clock), testTiming.Outage+testTiming.Lease)
 }
+
+// follow makes an entry follow a leader and waits until the leader has recorded it.
+func follow(t *testing.T, n *Node, l *leaderTerm) {
+	t.Helper()
+	n.executeStep(t.Context(), term.ReadStore)
+	require.Eventually(t, func() bool {
+		n.followLeader(n.cfg.Clock.Now())
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.leader != nil && n.leader.conn != nil
+	}, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return l.hasActiveFollower(n.cfg.Clock.Now()) }, 10*time.Second, time.Millisecond)
+}
+
+// join makes an agent without runs report to a leader.
+func join(t *testing.T, l *leaderTerm, agent string) {
+	t.Helper()
+	report := message.Report{Agent: agent, Session: 1, Sequence: 1, Full: true, Worker: &message.WorkerInfo{ID: agent, Reachable: true}}
+	require.NotZero(t, l.table.ApplyReport(l.node.cfg.Clock.Now(), &report).LeaseMs)
+}
+
+// expiresSilentAgent reports whether a leader ends the session of an agent that last reported
+// longer ago than its lease, when only the followers can confirm the term.
+func expiresSilentAgent(l *leaderTerm, now time.Time) bool {
+	before := l.table.Load().Agents
+	l.confirmTerm()
+	l.table.Tick(now)
+	return l.table.Load().Agents < before
+}
+
+// Guards against two runs of a task when a leader that is cut off from the store takes its
+// followers' silence for consent. It took the wall clock time at which data of a follower had
+// last arrived, which lies ahead of the leader's clock after a jump of the wall clock, and is
+// later than the message was sent if the leader was paused or the network held it back.
+func TestSilentFollowerDoesNotConfirmTheTerm(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Now().Add(-time.Minute)) // the wall clock has jumped ahead since the start
+	store := newMemoryStore(t)
+	l := claimTerm(t, listen(t, newProcess(t, "one", store, clock)))
+	follower := listen(t, newProcess(t, "two", store, clock))
+	follow(t, follower, l)
+	join(t, l, "a")
+
+	clock.Advance(testTiming.Lease + testTiming.Lease/10)
+	require.False(t, expiresSilentAgent(l, clock.Now()), "the follower may have begun a term")
+	follower.followLeader(clock.Now())
+	require.Eventually(t, func() bool { return l.hasActiveFollower(clock.Now()) }, 10*time.Second, time.Millisecond)
+	require.False(t, expiresSilentAgent(l, clock.Now()), "the message may be as old as the stamp that it returns")
+
+	l.sendUpdates(true)
+	require.Eventually(t, func() bool {
+		follower.followLeader(clock.Now())
+		return expiresSilentAgent(l, clock.Now())
+	}, 10*time.Second, time.Millisecond, "the follower has returned a stamp from after the lease")
+}
+
+// Guards against two runs of a task when a leader is cut off from the store and confirms its
+// term by its followers, while an entry that does not follow it, such as an added one, has begun
+// the next term. An agent that went over to that one must not count as expired at the old leader.
+func TestUnknownEntryDoesNotLeadBesideAConfirmedTerm(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Now())
+	store := newMemoryStore(t)
+	cut := &cutStore{memoryStore: store}
+	l := claimTerm(t, listen(t, newProcess(t, "one", cut, clock)))
+	follower := listen(t, newProcess(t, "two", store, clock))
+	follow(t, follower, l)
+	l.write(t.Context())
+	cut.cut = true
+	cutAt := clock.Now()
+
+	added := newProcess(t, "three", store, clock)
+	reported := false
+	for added.loadedTerm() == nil || l.valid() {
+		require.Less(t, clock.Since(cutAt), time.Minute)
+		clock.Advance(20 * time.Millisecond)
+		if clock.Since(cutAt) >= 3*time.Second && !reported {
+			reported = true
+			join(t, l, "a") // its last report here: from now on it may follow the other entry
+		}
+		if step := added.elector.Next(clock.Now()); step != term.Nothing {
+			added.executeStep(t.Context(), step)
+		}
+		sent := clock.Now()
+		l.sendUpdates(true)
+		require.Eventually(t, func() bool {
+			follower.followLeader(clock.Now())
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return !l.mu.candidates["two"].Before(sent)
+		}, 10*time.Second, 100*time.Microsecond)
+		expired := expiresSilentAgent(l, clock.Now())
+		require.False(t, expired && added.loadedTerm() != nil, "%s after the cut", clock.Since(cutAt))
+	}
+	require.Less(t, clock.Since(cutAt), testTiming.Outage+testTiming.LeaderTimeout)
+}
