process/lead, process/term: join the tests of odd values and of confirmed terms

Claim takes whether the entry has followed the leader, and leases of earlier terms count as over only once the term is confirmed, so the test of an unreadable list of agents confirms the term before it expects the end of the wait. go test -race passes on the packages of both parts.

--- a/process/lead/outage_test.go
+++ b/process/lead/outage_test.go
@@ -11,6 +11,7 @@
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
+	"camphorhead.example/camphorhead/process/schedule"
 	"camphorhead.example/camphorhead/process/pool"
 	"camphorhead.example/camphorhead/process/term"
 	"camphorhead.example/camphorhead/request/job"
@@ -195,6 +196,7 @@
 	l.table.Tick(clock.Now())
 	require.Equal(t, 1, l.table.Load().UnconfirmedAgents, "the leases may still hold by a slow clock")
 	clock.Advance(time.Second)
+	l.table.ConfirmTerm(clock.Now(), schedule.ConfirmedByStore)
 	l.table.Tick(clock.Now())
 	require.Zero(t, l.table.Load().UnconfirmedAgents)
 }
