process/lead: begin a term as of its claim, not as of the response

A leader could grant leases for more than outage_ms after its claim, or begin a term that another entry had already followed by the next one.

Cause: the time between a claim and its response was not counted. The right to grant leases began when the response had been processed, so after a slow response or a pause of the process it lasted longer than the next leader waits. And a response that arrived after the announcement of a newer term still began the old one: that entry then led, although the newer leader had shortened its wait because the entry had followed it.

The tests on the code before:

--- FAIL: TestRightToGrantCountsFromTheClaim Should be false --- FAIL: TestSupersededClaimBeginsNoTerm Expected nil, but got: &lead.leaderTerm{...

beginTerm takes the time before the claim, or before the read that showed a claim without a response. It compares the term with the newest known one and stores it under one lock, so an announcement either comes first and prevents it or finds it and ends it.

go test -race on process/lead passes.

--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -98,7 +98,9 @@
 	resigns   bool // the heartbeat gives the term up
 }
 
-func newLeaderTerm(n *Node, previous, view term.View) *leaderTerm {
+// newLeaderTerm returns a term whose jobs are not loaded. The right to grant leases counts from
+// newestAt, as in commitSucceeded: the response or this process may have been delayed.
+func newLeaderTerm(n *Node, previous, view term.View, newestAt time.Time) *leaderTerm {
 	l := &leaderTerm{node: n, number: view.Term}
 	l.table = schedule.New(schedule.Config{
 		Clock: n.cfg.Clock, Log: n.cfg.Log, Meter: n.cfg.Metrics, Term: view.Term, Lease: n.cfg.Timing.Lease,
@@ -115,7 +117,7 @@
 	l.heartbeat.Store(view.Heartbeat.Number)
 	now := n.cfg.Clock.Now()
 	l.begun = now
-	l.mu.validUntil = now.Add(n.cfg.Timing.Outage)
+	l.mu.validUntil = newestAt.Add(n.cfg.Timing.Outage)
 	l.mu.lastSuccess, l.mu.inboxReadAt, l.mu.purgedAt = now, now, now
 	return l
 }
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -312,6 +312,7 @@
 		return
 	}
 	n.mu.Lock()
+	began := n.cfg.Clock.Now()
 	view, followed := n.elector.View(), n.elector.Followed()
 	n.mu.Unlock()
 	// The view is the one that was read last, so that a term which another entry has just
@@ -322,7 +323,7 @@
 		n.readTerm(ctx)
 		return
 	}
-	n.beginTerm(ctx, view, next)
+	n.beginTerm(ctx, view, next, began)
 }
 
 // readTerm reads the term from the store and adjusts the claim delay to the store's latency.
@@ -347,7 +348,7 @@
 		n.cfg.Metrics.Add(metrics.StoreReadsFailed, 1)
 	case view.Term > previous.Term && view.HeldBy(n.cfg.Self()) && n.ownTerm.Load() == nil:
 		// This process's own claim had taken effect without a response.
-		n.beginTerm(ctx, previous, view)
+		n.beginTerm(ctx, previous, view, began)
 	case view.Term > previous.Term:
 		n.logLeader(view, "store")
 	}
@@ -358,16 +359,25 @@
 }
 
 // beginTerm leads the term of view, which this process has claimed, or steps down if the jobs
-// cannot be loaded. previous is the view before the claim.
-func (n *Node) beginTerm(ctx context.Context, previous, view term.View) {
+// cannot be loaded. previous is the view before the claim; newestAt is a time at or before which
+// the store was called that has shown view as the newest one. Nothing happens if another entry
+// has begun a newer term since then.
+func (n *Node) beginTerm(ctx context.Context, previous, view term.View, newestAt time.Time) {
+	l := newLeaderTerm(n, previous, view, newestAt)
 	n.mu.Lock()
-	n.elector.RecordView(n.cfg.Clock.Now(), view)
-	n.leader = nil
+	superseded := n.elector.Term() > view.Term
+	if !superseded {
+		n.elector.RecordView(n.cfg.Clock.Now(), view)
+		n.leader = nil
+		// From now on this process replies as the leader, so that no other entry considers the
+		// term ended while the jobs are loaded.
+		n.ownTerm.Store(l)
+	}
 	n.mu.Unlock()
-	l := newLeaderTerm(n, previous, view)
-	// From now on this process replies as the leader, so that no other entry considers the
-	// term ended while the jobs are loaded.
-	n.ownTerm.Store(l)
+	if superseded {
+		n.cfg.Log.Emit(event.TermNotBegun, "term", view.Term, "error", "another entry has begun a newer term")
+		return
+	}
 	l.announce()
 	if err := l.load(ctx); err != nil {
 		n.cfg.Log.Emit(event.TermNotBegun, "term", view.Term, "error", err)
--- a/process/lead/terms_test.go
+++ b/process/lead/terms_test.go
@@ -95,14 +95,19 @@
 // cutStore is the store as one process reaches it.
 type cutStore struct {
 	*memoryStore
-	cut bool
+	cut       bool
+	committed func() // called after a transaction, before its response; may be nil
 }
 
 func (s *cutStore) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
 	if s.cut {
 		return 0, platform.ErrUnavailable
 	}
-	return s.memoryStore.Commit(ctx, txn)
+	revision, err := s.memoryStore.Commit(ctx, txn)
+	if s.committed != nil {
+		s.committed()
+	}
+	return revision, err
 }
 
 // Settings of the nodes in tests of several terms.
@@ -331,3 +336,29 @@
 	}
 	require.Less(t, clock.Since(cutAt), testTiming.Outage+testTiming.LeaderTimeout)
 }
+
+// Guards against leases that a new leader grants longer than Timing.Outage after its claim,
+// because the response, or the process, was delayed.
+func TestRightToGrantCountsFromTheClaim(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := &cutStore{memoryStore: newMemoryStore(t), committed: func() { clock.Advance(testTiming.Outage) }}
+	l := claimTerm(t, newProcess(t, "one", store, clock))
+	require.False(t, l.valid())
+}
+
+// Guards against a second leader: the response to the claim of a term arrives after another
+// entry has begun the next one and this entry has followed it, so that it counts as a leader that
+// grants nothing any more.
+func TestSupersededClaimBeginsNoTerm(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := &cutStore{memoryStore: newMemoryStore(t)}
+	n := newProcess(t, "one", store, clock)
+	n.executeStep(t.Context(), term.ReadStore)
+	store.committed = func() {
+		n.applyAnnouncement(term.View{Record: term.Record{Term: 2, Holder: message.EntryInfo{ID: "two"}}, Revision: 9})
+	}
+	n.executeStep(t.Context(), term.ClaimTerm)
+	require.Nil(t, n.ownTerm.Load())
+	_, number := n.Leads()
+	require.Equal(t, uint64(2), number)
+}
