process/lead: do not take a claim in progress for the end of its term

A second change of the leader followed the first, and two leaders could grant leases, when the response to a claim was slow.

Cause: an entry that reads a new term from the store follows its holder. The holder answered that it does not lead, since it did not know yet that its claim had taken effect, and the term counted as ended: the other entry claimed the next one after its claim delay. If the holder then lost the store and missed the announcement, both granted leases.

The test on the code before:

--- FAIL: TestClaimInProgressIsNoEndOfTheTerm terms_test.go:382: Should be false

Any other entry that does not lead answers as before, a restarted one too.

go test -race on process/lead passes.

--- a/process/lead/handle.go
+++ b/process/lead/handle.go
@@ -7,6 +7,7 @@
 	"camphorhead.example/camphorhead/connection/peer"
 	"camphorhead.example/camphorhead/process/jobstore"
 	"camphorhead.example/camphorhead/process/term"
+	"camphorhead.example/camphorhead/request/outcome"
 )
 
 // Handle serves a message of another entry or an agent. It returns false, and does
@@ -60,9 +61,14 @@
 }
 
 func (n *Node) handleFollow(r peer.Request, f *message.Follow) {
+	claiming := n.claiming.Load() // before ownTerm is read, which is set before the claim ends
 	l := n.ownTerm.Load()
 	if l == nil {
-		r.Reply(message.FollowReply{Term: n.Leader().Term})
+		if newest := n.Leader().Term; claiming && f.Term > newest {
+			r.Fail(outcome.New(outcome.NotOwner, "this entry may be about to begin the term"))
+		} else {
+			r.Reply(message.FollowReply{Term: newest})
+		}
 		return
 	}
 	l.addCandidate(f) // before the reply, from which on the entry may claim the next term after a timeout
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -115,6 +115,7 @@
 	breaker         storeBreaker
 	leaderlessSince atomic.Int64 // since when there is no ready leader, in nanoseconds since 1970; 0: there is one
 	stepRunning     atomic.Bool
+	claiming        atomic.Bool // the outcome of a claim of this process is not known yet
 
 	mu             lockrank.Mutex // guards the fields below
 	elector        term.Elector
@@ -311,6 +312,8 @@
 		n.readTerm(bounded)
 		return
 	}
+	n.claiming.Store(true)
+	defer n.claiming.Store(false)
 	n.mu.Lock()
 	began := n.cfg.Clock.Now()
 	view, followed := n.elector.View(), n.elector.Followed()
--- a/process/lead/terms_test.go
+++ b/process/lead/terms_test.go
@@ -362,3 +362,24 @@
 	_, number := n.Leads()
 	require.Equal(t, uint64(2), number)
 }
+
+// Guards against a term that counts as ended before its leader has received the response to its
+// claim: a second leader would begin beside it.
+func TestClaimInProgressIsNoEndOfTheTerm(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := newMemoryStore(t)
+	slow := &cutStore{memoryStore: store}
+	other := listen(t, newProcess(t, "two", store, clock))
+	slow.committed = func() {
+		other.executeStep(t.Context(), term.ReadStore)
+		other.followLeader(clock.Now())
+		require.Eventually(t, func() bool {
+			other.mu.Lock()
+			defer other.mu.Unlock()
+			return !other.leader.dialing
+		}, 10*time.Second, time.Millisecond)
+		require.Equal(t, uint64(1), other.elector.Term())
+		require.False(t, other.elector.TermEnded())
+	}
+	claimTerm(t, listen(t, newProcess(t, "one", slow, clock)))
+}
