process/lead: let a draining entry finish its claim before it is discounted

An entry that is about to stop, or that a planned stop covers, could begin a term although the leader of the previous one no longer counted it among the entries that may.

Cause: HandOver marks the entry as draining and follows the leader again as such; the leader then confirms its term without it. A claim that was in progress was not waited for: HandOver found no term to hand over, and the term began afterwards, on an entry that never resigns it.

The test on the code before:

--- FAIL: TestDrainingWaitsForItsClaim terms_test.go:407: the claim is in progress Expected nil, but got: &lead.leaderTerm{...

HandOver waits for a claim in progress and then hands over its term. A claim begins only after a check of draining that HandOver's wait cannot miss, and a claim whose response was lost begins no term on a draining entry.

--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -151,6 +151,11 @@
 // entry follows, or else when ctx ends. From then on this entry claims no term.
 func (n *Node) HandOver(ctx context.Context) {
 	n.draining.Store(true)
+	for n.claiming.Load() && ctx.Err() == nil {
+		// A leader stops counting this entry among those that may claim the next term as soon
+		// as it follows as a draining one.
+		n.sleep(ctx, tickInterval)
+	}
 	n.mu.Lock()
 	n.leader = nil // follow the leader again, now as a draining entry
 	n.mu.Unlock()
@@ -159,16 +164,20 @@
 			l.resign(ctx)
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-n.cfg.Clock.After(tickInterval):
-		}
+		n.sleep(ctx, tickInterval)
 	}
 	if l := n.ownTerm.Load(); l != nil {
 		n.stepDown(l, "process stops")
 	}
 }
 
+func (n *Node) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-n.cfg.Clock.After(d):
+	}
+}
+
 // Leave is HandOver for a process that keeps running: it still forwards requests but is no
 // longer listed among the entries.
 func (n *Node) Leave(ctx context.Context) {
@@ -314,6 +323,9 @@
 	}
 	n.claiming.Store(true)
 	defer n.claiming.Store(false)
+	if n.draining.Load() {
+		return
+	}
 	n.mu.Lock()
 	began := n.cfg.Clock.Now()
 	view, followed := n.elector.View(), n.elector.Followed()
@@ -349,7 +361,7 @@
 	switch {
 	case err != nil:
 		n.cfg.Metrics.Add(metrics.StoreReadsFailed, 1)
-	case view.Term > previous.Term && view.HeldBy(n.cfg.Self()) && n.ownTerm.Load() == nil:
+	case view.Term > previous.Term && view.HeldBy(n.cfg.Self()) && n.ownTerm.Load() == nil && !n.draining.Load():
 		// This process's own claim had taken effect without a response.
 		n.beginTerm(ctx, previous, view, began)
 	case view.Term > previous.Term:
--- a/process/lead/terms_test.go
+++ b/process/lead/terms_test.go
@@ -383,3 +383,35 @@
 	}
 	claimTerm(t, listen(t, newProcess(t, "one", slow, clock)))
 }
+
+// Guards against an entry that leads after it has followed the leader as a draining entry, which
+// no longer counts it among those that may begin a term: its claim was in progress.
+func TestDrainingWaitsForItsClaim(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := &cutStore{memoryStore: newMemoryStore(t)}
+	n := newProcess(t, "one", store, clock)
+	ctx, cancel := context.WithCancel(t.Context())
+	drained, waiting := make(chan struct{}), make(chan struct{})
+	store.committed = func() {
+		go func() {
+			n.HandOver(ctx)
+			close(drained)
+		}()
+		go func() {
+			if clock.BlockUntilContext(ctx, 1) == nil {
+				close(waiting)
+			}
+		}()
+		select {
+		case <-drained:
+			t.Error("the claim is in progress")
+		case <-waiting:
+		}
+	}
+	claimTerm(t, n)
+	cancel()
+	<-drained
+	require.Nil(t, n.ownTerm.Load())
+	n.executeStep(t.Context(), term.ClaimTerm)
+	require.Nil(t, n.ownTerm.Load())
+}
