--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -115,6 +115,7 @@
 	breaker         storeBreaker
 	leaderlessSince atomic.Int64 // since when there is no ready leader, in nanoseconds since 1970; 0: there is one
 	stepRunning     atomic.Bool
+	claiming        atomic.Bool // the outcome of a claim of this process is not known yet
 
 	mu             lockrank.Mutex // guards the fields below
 	elector        term.Elector
@@ -150,6 +151,11 @@
 // entry follows, or else when ctx ends. From then on this entry claims no term.
 func (n *Node) HandOver(ctx context.Context) {
 	n.draining.Store(true)
+	for n.claiming.Load() && ctx.Err() == nil {
+		// A leader stops counting this entry among those that may claim the next term as soon
+		// as it follows as a draining one.
+		n.sleep(ctx, tickInterval)
+	}
 	n.mu.Lock()
 	n.leader = nil // follow the leader again, now as a draining entry
 	n.mu.Unlock()
@@ -158,16 +164,20 @@
 			l.resign(ctx)
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-n.cfg.Clock.After(tickInterval):
-		}
+		n.sleep(ctx, tickInterval)
 	}
 	if l := n.ownTerm.Load(); l != nil {
 		n.stepDown(l, "process stops")
 	}
 }
 
+func (n *Node) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-n.cfg.Clock.After(d):
+	}
+}
+
 // Leave is HandOver for a process that keeps running: it still forwards requests but is no
 // longer listed among the entries.
 func (n *Node) Leave(ctx context.Context) {
@@ -311,7 +321,13 @@
 		n.readTerm(bounded)
 		return
 	}
+	n.claiming.Store(true)
+	defer n.claiming.Store(false)
+	if n.draining.Load() {
+		return
+	}
 	n.mu.Lock()
+	began := n.cfg.Clock.Now()
 	view, followed := n.elector.View(), n.elector.Followed()
 	n.mu.Unlock()
 	// The view is the one that was read last, so that a term which another entry has just
@@ -322,7 +338,7 @@
 		n.readTerm(ctx)
 		return
 	}
-	n.beginTerm(ctx, view, next)
+	n.beginTerm(ctx, view, next, began)
 }
 
 // readTerm reads the term from the store and adjusts the claim delay to the store's latency.
@@ -345,9 +361,9 @@
 	switch {
 	case err != nil:
 		n.cfg.Metrics.Add(metrics.StoreReadsFailed, 1)
-	case view.Term > previous.Term && view.HeldBy(n.cfg.Self()) && n.ownTerm.Load() == nil:
+	case view.Term > previous.Term && view.HeldBy(n.cfg.Self()) && n.ownTerm.Load() == nil && !n.draining.Load():
 		// This process's own claim had taken effect without a response.
-		n.beginTerm(ctx, previous, view)
+		n.beginTerm(ctx, previous, view, began)
 	case view.Term > previous.Term && view.Unreadable:
 		n.cfg.Log.Emit(event.RecordUnreadable, "subject", term.Key)
 	case view.Term > previous.Term:
@@ -360,16 +376,25 @@
 }
 
 // beginTerm leads the term of view, which this process has claimed, or steps down if the jobs
-// cannot be loaded. previous is the view before the claim.
-func (n *Node) beginTerm(ctx context.Context, previous, view term.View) {
+// cannot be loaded. previous is the view before the claim; newestAt is a time at or before which
+// the store was called that has shown view as the newest one. Nothing happens if another entry
+// has begun a newer term since then.
+func (n *Node) beginTerm(ctx context.Context, previous, view term.View, newestAt time.Time) {
+	l := newLeaderTerm(n, previous, view, newestAt)
 	n.mu.Lock()
-	n.elector.RecordView(n.cfg.Clock.Now(), view)
-	n.leader = nil
+	superseded := n.elector.Term() > view.Term
+	if !superseded {
+		n.elector.RecordView(n.cfg.Clock.Now(), view)
+		n.leader = nil
+		// From now on this process replies as the leader, so that no other entry considers the
+		// term ended while the jobs are loaded.
+		n.ownTerm.Store(l)
+	}
 	n.mu.Unlock()
-	l := newLeaderTerm(n, previous, view)
-	// From now on this process replies as the leader, so that no other entry considers the
-	// term ended while the jobs are loaded.
-	n.ownTerm.Store(l)
+	if superseded {
+		n.cfg.Log.Emit(event.TermNotBegun, "term", view.Term, "error", "another entry has begun a newer term")
+		return
+	}
 	l.announce()
 	if err := l.load(ctx); err != nil {
 		n.cfg.Log.Emit(event.TermNotBegun, "term", view.Term, "error", err)
