process/runs: count the leases of calls in flight

An agent reported runs as ended that ran on at its worker for up to 0.85 s (call timeout plus the wait of a poll), and a start as ended that its worker then executed. It also marked valid ends as void, so that a task was run again after it was done.

The end of the worker's lease advanced only once a poll or a start had returned. A process that is frozen or suspended with a call in flight goes on with a clock past the old end, and its ticker concludes the runs before the call returns, while the worker has executed the call and extended the lease of all its runs. concludeExpired also took a start in flight as ended, since only a start that has returned without a response counts as uncertain.

A call is now entered in workerLease before it is sent. The lease ends at the maximum over all calls that the worker may have received, in flight or not; a call that was not received (ErrUnavailable) leaves without effect. A run whose start is in flight is not concluded, and a start becomes uncertain in the same critical section in which it stops being in flight. The lease before a poll, which decides whether ends are void, is read when the poll is built: leases that later calls request say nothing about it.

--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -66,11 +66,11 @@
 			n.cancelStart(ctx, r)
 			return
 		}
-		req, leaseEnd, needed := n.startRequest(r)
+		req, lease, needed := n.startRequest(r)
 		if !needed {
 			return
 		}
-		if req.LeaseUntilMs == 0 {
+		if lease == nil {
 			if !n.mayHaveStarted(r) {
 				n.refuse(r, message.RefusedLease, false)
 				return
@@ -83,7 +83,7 @@
 		bounded, cancel := context.WithTimeout(ctx, n.cfg.Timing.WorkerCallTimeout)
 		clockMs, err := n.cfg.Worker.Start(bounded, req)
 		cancel()
-		n.advanceWorkerLease(leaseEnd, err)
+		n.finishStart(r, lease, req.Token, err)
 		var refusal *platform.RefusalError
 		switch {
 		case err == nil:
@@ -104,7 +104,8 @@
 			}
 			n.sleep(ctx, startRetryDelay)
 		default:
-			n.fenceStart(r, req.Token)
+			n.cfg.Metrics.Add(metrics.StartsUnanswered, 1)
+			n.cfg.Log.Emit(event.StartUnanswered, "task", r.order.Key.Task.String(), "run", r.order.Key.Run)
 		}
 	}
 }
@@ -117,27 +118,43 @@
 }
 
 // startRequest builds a start request; needed is false once the run is confirmed or removed.
-// leaseEnd is by the agent's clock; without a lease, it and req.LeaseUntilMs are zero.
-func (n *Node) startRequest(r *run) (req platform.RunRequest, leaseEnd time.Time, needed bool) {
+// lease is nil if the run may get no lease; the start must then not be sent.
+func (n *Node) startRequest(r *run) (req platform.RunRequest, lease *leaseRequest, needed bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.runs[r.order.Key] != r || !r.confirmedAt.IsZero() {
-		return req, leaseEnd, false
+		return req, nil, false
 	}
 	req = platform.RunRequest{
 		RunKey: r.order.Key, Token: n.token, Instance: n.instance, Checkpoint: r.order.Checkpoint,
 		Ticket: r.order.Ticket, Input: n.inputs[r.order.Key.Task.Job], Need: r.order.Need,
 		LongRunning: r.order.LongRunning, Profile: r.order.Profile, Franchisee: r.order.Franchisee,
 	}
-	req.LeaseUntilMs, leaseEnd = n.leaseUntil(n.cfg.Clock.Now())
-	if n.unresponsive && leaseEnd.After(n.workerLeaseEnd) {
-		// The lease of an unresponsive worker is not extended, as in holdRequest.
-		req.LeaseUntilMs, leaseEnd = 0, time.Time{}
+	untilMs, leaseEnd := n.leaseUntil(n.cfg.Clock.Now())
+	if untilMs == 0 || n.unresponsive && leaseEnd.After(n.lease.end()) {
+		return req, nil, true // the lease of an unresponsive worker is not extended, as in holdRequest
 	}
-	if req.LeaseUntilMs != 0 {
-		n.leaseCalls++
+	req.LeaseUntilMs = untilMs
+	r.startInFlight = true
+	return req, n.lease.request(leaseEnd), true
+}
+
+// finishStart records the return of a start. If it had no response, finishStart raises the
+// token, so that the worker refuses the start if it has not executed it before the next call
+// arrives.
+func (n *Node) finishStart(r *run, lease *leaseRequest, token int64, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lease.finish(lease, !errors.Is(err, platform.ErrUnavailable))
+	r.startInFlight = false
+	var refusal *platform.RefusalError
+	if err == nil || errors.As(err, &refusal) || errors.Is(err, platform.ErrUnavailable) {
+		return
+	}
+	r.noResponseAt = n.cfg.Clock.Now()
+	if n.token == token {
+		n.token++
 	}
-	return req, leaseEnd, true
 }
 
 // startObsolete reports whether the start of an unconfirmed run must no longer be sent.
@@ -198,19 +215,6 @@
 	}
 }
 
-// fenceStart records a start call without a response and raises the token, so that the worker
-// refuses the start if it has not executed it before the next call arrives.
-func (n *Node) fenceStart(r *run, token int64) {
-	n.mu.Lock()
-	r.noResponseAt = n.cfg.Clock.Now()
-	if n.token == token {
-		n.token++
-	}
-	n.mu.Unlock()
-	n.cfg.Metrics.Add(metrics.StartsUnanswered, 1)
-	n.cfg.Log.Emit(event.StartUnanswered, "task", r.order.Key.Task.String(), "run", r.order.Key.Run)
-}
-
 // mayHaveStarted reports whether a start had no response: the worker may have executed it.
 func (n *Node) mayHaveStarted(r *run) bool {
 	n.mu.Lock()
--- a/process/runs/fake_test.go
+++ b/process/runs/fake_test.go
@@ -38,6 +38,8 @@
 	unreachable              // the call does not reach the worker
 	executedLate             // no response; executed by runDelayedCalls
 	responseLost             // executed, but without a response
+	held                     // in flight until releaseCalls, then executed
+	responseHeld             // executed at once; the response is in flight until releaseCalls
 )
 
 // fakeWorker is a worker with the test's clock, whose calls fail as outcome specifies.
@@ -57,10 +59,14 @@
 	outcome      func(call string) callOutcome // runs with mu held
 	paces        map[job.RunKey]int
 	recorded     uint64 // number of the latest end that the agent reported as recorded
+
+	heldCalls chan struct{} // receives a value when a call is held
+	release   chan struct{} // closed by releaseCalls
+	releasing sync.Once
 }
 
 func newFakeWorker(clock *clockwork.FakeClock) *fakeWorker {
-	w := &fakeWorker{clock: clock, id: "i-1", outcome: func(string) callOutcome { return succeeds }}
+	w := &fakeWorker{clock: clock, id: "i-1", heldCalls: make(chan struct{}, 100), release: make(chan struct{}), outcome: func(string) callOutcome { return succeeds }}
 	w.restart()
 	return w
 }
@@ -134,11 +140,26 @@
 	case responseLost:
 		_ = execute()
 		return platform.ErrUncertain
+	case held:
+		w.wait()
+	case responseHeld:
+		defer w.wait()
 	case succeeds:
 	}
 	return execute()
 }
 
+// releaseCalls continues the calls that are held, now and later.
+func (w *fakeWorker) releaseCalls() { w.releasing.Do(func() { close(w.release) }) }
+
+// wait waits for releaseCalls, without holding mu meanwhile.
+func (w *fakeWorker) wait() {
+	w.mu.Unlock()
+	defer w.mu.Lock()
+	w.heldCalls <- struct{}{}
+	<-w.release
+}
+
 func (w *fakeWorker) runDelayedCalls() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -235,6 +256,7 @@
 	clock := clockwork.NewFakeClock()
 	r := &rig{t: t, clock: clock, worker: newFakeWorker(clock)}
 	r.node = r.newNode()
+	t.Cleanup(r.worker.releaseCalls)
 	return r
 }
 
--- /dev/null
+++ b/process/runs/lease.go
@@ -0,0 +1,45 @@
+package runs
+
+import "time"
+
+// workerLease accounts for the leases that calls have requested from the worker, by the agent's
+// clock. A requested lease counts from before its call is sent, unless it turns out that the
+// worker did not receive the call: the worker may execute the call at any time after that, also
+// while the agent's process is frozen with the call in flight. Node.mu guards it.
+type workerLease struct {
+	returned time.Time // latest end that a call which has returned had requested; zero: none
+	inFlight map[*leaseRequest]struct{}
+}
+
+// leaseRequest is a poll or a start in flight.
+type leaseRequest struct {
+	end time.Time // of the requested lease; zero: the call extends nothing
+}
+
+func newWorkerLease() workerLease { return workerLease{inFlight: map[*leaseRequest]struct{}{}} }
+
+// request records a call that is about to be sent.
+func (l *workerLease) request(end time.Time) *leaseRequest {
+	q := &leaseRequest{end: end}
+	l.inFlight[q] = struct{}{}
+	return q
+}
+
+// finish records the return of a call. received: the worker may have received it.
+func (l *workerLease) finish(q *leaseRequest, received bool) {
+	delete(l.inFlight, q)
+	if received && q.end.After(l.returned) {
+		l.returned = q.end
+	}
+}
+
+// end returns the latest time at which the worker's lease may end; zero: no lease was requested.
+func (l *workerLease) end() time.Time {
+	end := l.returned
+	for q := range l.inFlight {
+		if q.end.After(end) {
+			end = q.end
+		}
+	}
+	return end
+}
--- /dev/null
+++ b/process/runs/lease_test.go
@@ -0,0 +1,88 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"camphorhead.example/camphorhead/request/job"
+)
+
+// Guards against runs that are reported as ended while they run: the worker may have executed a
+// poll that is still in flight when a frozen process continues, which extends their lease.
+func TestLeaseOfPollInFlightCounts(t *testing.T) {
+	r := newRig(t)
+	k := runKey("j", 1)
+	r.orderStarts(r.node, k)
+	r.eventually("the run is confirmed", func() bool { return r.node.isConfirmed(k) })
+	r.poll(r.node)
+	leaseEnd := r.clock.Now().Add(testWorkerLease)
+	r.clock.Advance(500 * time.Millisecond)
+	r.node.extendGrant(r.clock.Now().Add(testGrant))
+	r.worker.setOutcome(always(responseHeld))
+	polled := make(chan struct{})
+	go func() {
+		defer close(polled)
+		r.poll(r.node)
+	}()
+	<-r.worker.heldCalls
+	r.clock.Advance(leaseEnd.Add(200 * time.Millisecond).Sub(r.clock.Now())) // the process is frozen
+	r.node.concludeExpired(r.clock.Now())
+	require.True(t, r.worker.has(k))
+	require.True(t, r.node.hasRun(k), "reported as ended while it is running")
+	r.worker.releaseCalls()
+	<-polled
+	require.True(t, r.node.hasRun(k))
+}
+
+// Guards against a start that is given up as expired while its call is on the way to the worker,
+// which executes it.
+func TestStartInFlightIsNotConcluded(t *testing.T) {
+	r := newRig(t)
+	k := runKey("j", 1)
+	r.poll(r.node)
+	leaseEnd := r.clock.Now().Add(testWorkerLease)
+	r.clock.Advance(500 * time.Millisecond)
+	r.node.extendGrant(r.clock.Now().Add(testGrant))
+	r.worker.setOutcome(always(held))
+	r.orderStarts(r.node, k)
+	<-r.worker.heldCalls
+	r.clock.Advance(leaseEnd.Add(200 * time.Millisecond).Sub(r.clock.Now()))
+	r.node.concludeExpired(r.clock.Now())
+	require.True(t, r.node.hasRun(k), "given up while its start is on the way")
+	r.clock.Advance(testWorkerLease)
+	r.node.concludeExpired(r.clock.Now())
+	require.True(t, r.node.hasRun(k), "given up although the next worker instance may execute the start")
+	r.worker.releaseCalls()
+}
+
+// Guards against ends that are marked as void although the lease never expired: a start in
+// flight has extended it.
+func TestEndsAreValidUnderLeaseOfStartInFlight(t *testing.T) {
+	r := newRig(t)
+	a, b := runKey("a", 1), runKey("b", 1)
+	r.orderStarts(r.node, a)
+	r.eventually("the run is confirmed", func() bool { return r.node.isConfirmed(a) })
+	r.poll(r.node)
+	leaseEnd := r.clock.Now().Add(testWorkerLease)
+	r.clock.Advance(500 * time.Millisecond)
+	r.node.extendGrant(r.clock.Now().Add(testGrant))
+	r.worker.setOutcome(func(call string) callOutcome {
+		if call == "start" {
+			return responseHeld
+		}
+		return succeeds
+	})
+	r.orderStarts(r.node, b)
+	<-r.worker.heldCalls
+	r.clock.Advance(leaseEnd.Add(100 * time.Millisecond).Sub(r.clock.Now()))
+	require.True(t, r.worker.has(a))
+	r.worker.finish(a, job.EndDone)
+	r.poll(r.node)
+	report := fullReport(r.node)
+	require.Len(t, report.Ends, 1)
+	require.Equal(t, job.EndDone, report.Ends[0].How)
+	require.False(t, report.Ends[0].Void, "a valid end is void")
+	r.worker.releaseCalls()
+}
--- a/process/runs/node.go
+++ b/process/runs/node.go
@@ -104,12 +104,10 @@
 	announceSequence uint64
 	instance         string // worker ID in calls, so that another worker refuses them; empty: whichever responds
 	clock            workerClock
-	token            int64 // fencing token of calls; the worker refuses lower ones than it has seen
-	// grantEnd is the end of the leader's grant, workerLeaseEnd the latest lease end that a
-	// call has requested from the worker; both by the agent's clock.
-	grantEnd, workerLeaseEnd time.Time
-	leaseCalls               int  // polls and starts in flight
-	unresponsive             bool // the latest poll had no response
+	token            int64     // fencing token of calls; the worker refuses lower ones than it has seen
+	grantEnd         time.Time // end of the leader's grant, by the agent's clock
+	lease            workerLease
+	unresponsive     bool // the latest poll had no response
 	// listedAt is when the latest listing arrived, polledAt when its poll was sent; zero: none.
 	listedAt, polledAt time.Time
 	instanceStartMs    int64 // latest listing's worker instance: Unix time of its start, in ms; 0: none yet
@@ -148,6 +146,7 @@
 	requestedPace        int // pace to set, in percent
 	// paceKnown: state.PacePct is the pace at the worker. pacing: setPace is queued or runs.
 	paceKnown, pacing bool
+	startInFlight     bool
 	noResponseAt      time.Time // when a start last had no response: the worker may have executed it; zero: never
 }
 
@@ -175,6 +174,7 @@
 func New(cfg Config) *Node {
 	n := &Node{
 		cfg: cfg, mu: lockrank.NewMutex(lockrank.RankTasks), runs: map[job.RunKey]*run{}, givenUp: givenUpRuns{},
+		lease:  newWorkerLease(),
 		inputs: map[string][]byte{}, token: cfg.Clock.Now().UnixMilli() + tokenStep,
 	}
 	n.leader = newLeaderClient(n)
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -45,12 +45,12 @@
 
 // poll polls the worker once and reports whether it returned a listing.
 func (n *Node) poll(ctx context.Context, sent time.Time) bool {
-	req, leaseEnd := n.holdRequest(sent)
+	req, lease, previousLeaseEnd := n.holdRequest(sent)
 	bounded, cancel := context.WithTimeout(ctx, req.Wait+n.cfg.Timing.WorkerCallTimeout)
 	defer cancel()
 	list, err := n.cfg.Worker.Hold(bounded, req)
 	now := n.cfg.Clock.Now()
-	previousLeaseEnd := n.advanceWorkerLease(leaseEnd, err)
+	n.finishLease(lease, err)
 	if err != nil {
 		n.pollFailed(now, err)
 		return false
@@ -59,13 +59,13 @@
 	return true
 }
 
-// holdRequest builds the poll request with the longest allowed lease and its end by the agent's
-// clock; zero: no extension. A worker that did not respond to the previous poll gets no
+// holdRequest builds the poll request with the longest allowed lease, and returns the end of the
+// worker's lease before it. A worker that did not respond to the previous poll gets no
 // extension, so that its runs end within a known time.
-func (n *Node) holdRequest(now time.Time) (req platform.HoldRequest, leaseEnd time.Time) {
+func (n *Node) holdRequest(now time.Time) (req platform.HoldRequest, lease *leaseRequest, previousLeaseEnd time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.leaseCalls++
+	var leaseEnd time.Time
 	req = platform.HoldRequest{Token: n.token, Wait: maxPollWait, Instance: n.instance, Recorded: n.lastRecorded}
 	if !n.unresponsive {
 		req.LeaseUntilMs, leaseEnd = n.leaseUntil(now)
@@ -73,7 +73,8 @@
 	if n.listedAt.IsZero() {
 		req.Wait, req.Instance = 0, "" // the first listing shows the runs to take over
 	}
-	return req, leaseEnd
+	previousLeaseEnd = n.lease.end()
+	return req, n.lease.request(leaseEnd), previousLeaseEnd
 }
 
 // leaseUntil returns the end of the lease to request, by the worker's clock in ms and by the
@@ -91,17 +92,11 @@
 	return n.clock.valueMs + int64(float64(left.Milliseconds())*leaseClockFactor), end
 }
 
-// advanceWorkerLease records the end of a lease that a call has requested, unless err shows
-// that the worker did not receive the call, and returns the latest end before it.
-func (n *Node) advanceWorkerLease(end time.Time, err error) (previous time.Time) {
+// finishLease records the return of a poll or start.
+func (n *Node) finishLease(q *leaseRequest, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.leaseCalls--
-	previous = n.workerLeaseEnd
-	if !errors.Is(err, platform.ErrUnavailable) && end.After(n.workerLeaseEnd) {
-		n.workerLeaseEnd = end
-	}
-	return previous
+	n.lease.finish(q, !errors.Is(err, platform.ErrUnavailable))
 }
 
 // updateClock records a sample of the worker's clock; 0 is none. The caller holds mu.
@@ -301,8 +296,8 @@
 	n.givenUp.add(now, r.order.Key, cause)
 	n.unreportedChange = true
 	n.cfg.Log.Emit(event.TaskRunEnded, "task", r.order.Key.Task.String(), "run", r.order.Key.Run,
-		"state", job.EndLeaseExpired.String(), "cause", "concluded: "+cause, "lease_ms", -elapsedMs(now, n.workerLeaseEnd),
-		"silent_ms", elapsedMs(now, n.listedAt), "age_ms", elapsedMs(now, r.startedAt), "pending_calls", n.leaseCalls)
+		"state", job.EndLeaseExpired.String(), "cause", "concluded: "+cause, "lease_ms", -elapsedMs(now, n.lease.end()),
+		"silent_ms", elapsedMs(now, n.listedAt), "age_ms", elapsedMs(now, r.startedAt), "pending_calls", len(n.lease.inFlight))
 }
 
 // removeRun removes a run and releases its capacity in the ledger. The caller holds mu.
@@ -312,14 +307,15 @@
 }
 
 // concludeExpired concludes the runs of a worker whose lease expired, plus a margin of 5% of
-// WorkerLease, and which has returned no listing for half of WorkerLease.
+// WorkerLease, and which has returned no listing for half of WorkerLease. A run stays whose
+// start the next worker instance may still execute, as by its clock the lease is not over.
 func (n *Node) concludeExpired(now time.Time) {
 	n.mu.Lock()
-	ended := 0
-	if !n.workerLeaseEnd.IsZero() && now.After(n.workerLeaseEnd.Add(n.cfg.Timing.WorkerLease/20)) && now.Sub(n.listedAt) > n.cfg.Timing.WorkerLease/2 {
+	ended, leaseEnd := 0, n.lease.end()
+	if !leaseEnd.IsZero() && now.After(leaseEnd.Add(n.cfg.Timing.WorkerLease/20)) && now.Sub(n.listedAt) > n.cfg.Timing.WorkerLease/2 {
 		for _, r := range n.runs {
-			if !r.noResponseAt.IsZero() && now.Sub(r.noResponseAt) < lateStartWindow {
-				continue // the next worker instance may still execute a copy of its start
+			if r.startInFlight || !r.noResponseAt.IsZero() && now.Sub(r.noResponseAt) < lateStartWindow {
+				continue
 			}
 			n.conclude(now, r, "lease expired", "the worker did not answer until its lease was over")
 			ended++
