process/runs: resolve an unanswered start by a listing, not by a refusal

An agent reported a run as refused that was running at its worker or started there later.

A start without a response is sent again with a higher token. If the worker refused that copy for want of health, capacity, a ticket, a lease, as another instance or as malformed, the agent took the refusal for the answer to both copies. The first one may have been executed with its response lost, or may be executed seconds later: a worker that refuses as unhealthy has done nothing, so it has not recorded the higher token either. Only RefusedOldRun was resolved by a listing.

Every refusal that follows an unanswered copy is now resolved by a listing whose poll was sent after it. That poll carries a token above that of every unanswered copy, so once it is answered the listing shows the run or the run never starts. The report keeps the reason of the refusal and whether the worker was unhealthy. A start whose copies were all answered is refused at once as before.

With the change the tests of process/runs pass with -race.

--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -91,11 +91,8 @@
 			return
 		case errors.As(err, &refusal) && refusal.Reason == platform.RefusedFenced:
 			n.raiseToken(req.Token)
-		case errors.As(err, &refusal) && refusal.Reason == platform.RefusedOldRun:
-			n.resolveStart(ctx, r)
-			return
 		case errors.As(err, &refusal):
-			n.refuse(r, string(refusal.Reason), refusal.Reason == platform.RefusedUnhealthy)
+			n.startRefused(ctx, r, refusal.Reason)
 			return
 		case errors.Is(err, platform.ErrUnavailable):
 			if dials++; dials >= maxDialAttempts && !n.mayHaveStarted(r) {
@@ -139,6 +136,18 @@
 	return req, n.lease.request(leaseEnd), true
 }
 
+// startRefused handles a refusal that repeating the start would not change. An earlier copy that
+// had no response may have been executed, or may still be: an unhealthy worker has not recorded
+// the higher token of the copy that it refuses.
+func (n *Node) startRefused(ctx context.Context, r *run, reason platform.Refusal) {
+	unhealthy := reason == platform.RefusedUnhealthy
+	if reason == platform.RefusedOldRun || n.mayHaveStarted(r) {
+		n.resolveStart(ctx, r, string(reason), unhealthy)
+		return
+	}
+	n.refuse(r, string(reason), unhealthy)
+}
+
 // finishStart records the return of a start. If it had no response, finishStart raises the
 // token, so that the worker refuses the start if it has not executed it before the next call
 // arrives.
@@ -181,7 +190,7 @@
 			return // sendStops stops a confirmed run
 		}
 		if n.sendStop(ctx, r.order.Key) == nil {
-			n.resolveStart(ctx, r)
+			n.resolveStart(ctx, r, string(platform.RefusedOldRun), false)
 			return
 		}
 		n.sleep(ctx, startRetryDelay)
@@ -222,11 +231,12 @@
 	return !r.noResponseAt.IsZero()
 }
 
-// resolveStart waits until it is known whether a run exists whose start the worker no longer
-// accepts, because it knows this run or a higher one or was ordered to stop it. The next
-// listing shows the run if a copy of the start was executed; else the run is refused. A listing
-// that was requested before this call may predate the start and does not count.
-func (n *Node) resolveStart(ctx context.Context, r *run) {
+// resolveStart waits until it is known whether a run exists whose start the worker has refused
+// or will refuse. The next listing shows the run if a copy of the start was executed; else the
+// run is refused with reason and unhealthy, see refuse. The poll of that listing carries a
+// higher token than every copy without a response, so the worker executes none afterwards. A
+// listing that was requested before this call may predate the start and does not count.
+func (n *Node) resolveStart(ctx context.Context, r *run, reason string, unhealthy bool) {
 	began := n.cfg.Clock.Now()
 	for ctx.Err() == nil {
 		n.mu.Lock()
@@ -237,7 +247,7 @@
 			return
 		}
 		if fresh {
-			n.refuse(r, string(platform.RefusedOldRun), false)
+			n.refuse(r, reason, unhealthy)
 			return
 		}
 		n.sleep(ctx, startRetryDelay)
--- a/process/runs/fake_test.go
+++ b/process/runs/fake_test.go
@@ -38,6 +38,7 @@
 	unreachable              // the call does not reach the worker
 	executedLate             // no response; executed by runDelayedCalls
 	responseLost             // executed, but without a response
+	refuses                  // refused with refusal; the worker does nothing
 	held                     // in flight until releaseCalls, then executed
 	responseHeld             // executed at once; the response is in flight until releaseCalls
 )
@@ -60,6 +61,7 @@
 	paces        map[job.RunKey]int
 	recorded     uint64 // number of the latest end that the agent reported as recorded
 
+	refusal   platform.Refusal
 	heldCalls chan struct{} // receives a value when a call is held
 	release   chan struct{} // closed by releaseCalls
 	releasing sync.Once
@@ -140,6 +142,8 @@
 	case responseLost:
 		_ = execute()
 		return platform.ErrUncertain
+	case refuses:
+		return &platform.RefusalError{Reason: w.refusal}
 	case held:
 		w.wait()
 	case responseHeld:
--- a/process/runs/lease_test.go
+++ b/process/runs/lease_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/request/job"
 )
 
@@ -86,3 +88,53 @@
 	require.False(t, report.Ends[0].Void, "a valid end is void")
 	r.worker.releaseCalls()
 }
+
+// Guards against a run that is reported as refused while it runs: a refusal of a repeated start
+// says nothing about the first copy, which had no response.
+func TestRefusalDoesNotResolveUnansweredStart(t *testing.T) {
+	reasons := []platform.Refusal{
+		platform.RefusedUnhealthy, platform.RefusedCapacity, platform.RefusedTicket, platform.RefusedInstance,
+		platform.RefusedLeaseExpired, platform.RefusedMalformed,
+	}
+	for _, first := range []callOutcome{executedLate, responseLost} {
+		for _, reason := range reasons {
+			r := newRig(t)
+			k := runKey("j", 1)
+			starts := 0
+			r.worker.setOutcome(func(call string) callOutcome {
+				if call != "start" {
+					return succeeds
+				}
+				if starts++; starts == 1 {
+					return first
+				}
+				r.worker.refusal = reason
+				return refuses
+			})
+			r.poll(r.node)
+			r.orderStarts(r.node, k)
+			r.eventually("the start is repeated", func() bool {
+				r.worker.mu.Lock()
+				defer r.worker.mu.Unlock()
+				return starts > 1
+			})
+			for range 20 {
+				r.clock.Advance(startRetryDelay)
+				time.Sleep(100 * time.Microsecond)
+			}
+			require.True(t, r.node.hasRun(k), "%s: given up before a listing shows whether it runs", reason)
+			r.eventually("a listing resolves the start", func() bool {
+				r.poll(r.node)
+				return r.node.isConfirmed(k) || !r.node.hasRun(k)
+			})
+			r.worker.runDelayedCalls()
+			require.Equal(t, r.worker.has(k), r.node.hasRun(k), "%s", reason)
+			require.Equal(t, first == responseLost, r.worker.has(k), "%s", reason)
+			report := message.Report{}
+			r.node.fillReport(&report, 0)
+			if first == executedLate {
+				require.Equal(t, []message.RunRefusal{{Key: k, Reason: string(reason), Unhealthy: reason == platform.RefusedUnhealthy}}, report.Refused)
+			}
+		}
+	}
+}
--- a/process/runs/runs_test.go
+++ b/process/runs/runs_test.go
@@ -372,7 +372,7 @@
 	resolved := make(chan struct{})
 	go func() {
 		defer close(resolved)
-		r.node.resolveStart(t.Context(), r.node.findRun(k))
+		r.node.resolveStart(t.Context(), r.node.findRun(k), string(platform.RefusedOldRun), false)
 	}()
 	require.NoError(t, r.clock.BlockUntilContext(t.Context(), 1))
 	r.clock.Advance(2 * maxPollWait)
