process/runs: describe the worker by the instance that answers polls

After a worker had restarted under its ID, the agent admitted and started runs by the capacity of the previous instance until the next announcement, up to 1.5 s later; runs admitted before the restart were started at the new instance too. If the machine's wall clock had been set back in between, the agent ignored every announcement of the new instance, and the old capacity stayed in force for good.

Announce put the announcement with the highest start time in force, whichever instance was at the worker's address.

The worker is now the instance that answered the latest poll, and its description is its own latest announcement: same start time, highest sequence. Announcements of other instances, delayed ones or those of an instance that has not answered yet, are kept (eight at most) and never put in force. Until the instance has announced itself, it gets no runs and is reported as unreachable. A run that was admitted for another instance is not sent any more; if a copy was sent without a response, it is cancelled by a stop and a listing. Draining and Withdraw act at once, and a withdrawn announcement stays draining. Workers that describe themselves in their listings are handled as before.

The ledger is opened where the description is put in force, so Ledger.SetCapacity has no caller left and is removed. TestRestartedWorker now lets the new instance announce itself before it expects a run there; without that, the run must not start.

--- a/process/agent/node.go
+++ b/process/agent/node.go
@@ -94,7 +94,6 @@
 
 // Announce applies the worker's announcement of itself, see runs.Node.Announce.
 func (a *Agent) Announce(w message.WorkerInfo, sequence uint64) {
-	a.ledger.Open(w.Capacity, nil)
 	a.node.Announce(w, sequence)
 }
 
--- a/process/ledger/ledger.go
+++ b/process/ledger/ledger.go
@@ -97,7 +97,8 @@
 }
 
 // Open adopts all tasks of the worker's first status, sets the capacity and enables
-// admissions, atomically. Further calls only set the capacity.
+// admissions, atomically. Further calls only set the capacity; tasks stay charged even if they
+// no longer fit.
 func (l *Ledger) Open(capacity resources.Resources, tasks []Task) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -118,13 +119,6 @@
 	return l.ready
 }
 
-// SetCapacity changes the worker's capacity; tasks stay charged even if they no longer fit.
-func (l *Ledger) SetCapacity(capacity resources.Resources) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.capacity = capacity
-}
-
 // SetReserve changes the part of the capacity that is reserved for checks.
 func (l *Ledger) SetReserve(reserve resources.Resources) {
 	l.mu.Lock()
--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -166,12 +166,14 @@
 	}
 }
 
-// startObsolete reports whether the start of an unconfirmed run must no longer be sent.
+// startObsolete reports whether the start of an unconfirmed run must no longer be sent: it is to
+// stop, its order is too old, or another worker instance has taken the place of the one by whose
+// capacity it was admitted.
 func (n *Node) startObsolete(r *run) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.runs[r.order.Key] == r && r.confirmedAt.IsZero() &&
-		(r.stopping || n.cfg.Clock.Since(r.startedAt) > maxStartAge)
+		(r.stopping || r.instanceStartMs != n.instanceStartMs || n.cfg.Clock.Since(r.startedAt) > maxStartAge)
 }
 
 // cancelStart ensures that an unconfirmed run never starts or is stopped: after a stop, the
--- a/process/runs/fake_test.go
+++ b/process/runs/fake_test.go
@@ -49,6 +49,7 @@
 
 	mu           sync.Mutex // guards the fields below
 	startedAt    time.Time
+	startedMs    int64 // the wall clock at startedAt
 	id           string
 	token        int64 // the highest seen
 	leaseEnd     time.Time
@@ -79,6 +80,7 @@
 	defer w.mu.Unlock()
 	w.clock.Advance(time.Millisecond)
 	w.startedAt = w.clock.Now()
+	w.startedMs = w.startedAt.UnixMilli()
 	w.token, w.leaseEnd, w.endCount = 0, time.Time{}, 0
 	w.running, w.highestRun = map[job.RunKey]platform.RunningTask{}, map[job.TaskID]uint32{}
 	w.ended, w.paces = nil, map[job.RunKey]int{}
@@ -181,7 +183,7 @@
 		w.extend(r.LeaseUntilMs)
 		w.recorded = max(w.recorded, r.Recorded)
 		w.ended = slices.DeleteFunc(w.ended, func(e platform.EndedTask) bool { return e.Number <= r.Recorded })
-		list = platform.Listing{StartedMs: w.startedAt.UnixMilli(), ClockMs: w.clockMs(), Ended: slices.Clone(w.ended)}
+		list = platform.Listing{StartedMs: w.startedMs, ClockMs: w.clockMs(), Ended: slices.Clone(w.ended)}
 		for _, t := range w.running {
 			list.Running = append(list.Running, t)
 		}
@@ -264,22 +266,33 @@
 	return r
 }
 
-// newNode returns the node of a new agent process, not started, that has polled the worker
-// once.
+// newNode returns the node of a new agent process, not started, that has received an
+// announcement of the worker and polled it once.
 func (r *rig) newNode() *Node {
+	n := r.newUnannouncedNode()
+	r.announce(n, testCapacity, 1)
+	n.extendGrant(r.clock.Now().Add(testGrant))
+	r.poll(n)
+	return n
+}
+
+// announce delivers an announcement of the current worker instance.
+func (r *rig) announce(n *Node, capacity resources.Resources, sequence uint64) {
+	n.Announce(message.WorkerInfo{ID: r.worker.id, StartedMs: r.worker.startedMs, Service: "s", Capacity: capacity}, sequence)
+}
+
+// newUnannouncedNode returns a node to which the worker has neither announced itself nor
+// responded.
+func (r *rig) newUnannouncedNode() *Node {
 	p := pool.New(4, 64)
 	r.t.Cleanup(p.Close)
 	l := ledger.New(ledger.Config{Clock: r.clock})
-	l.Open(testCapacity, nil)
 	n := New(Config{
 		ID: "agent", Address: func() string { return "127.0.0.1:1" }, Clock: r.clock, Worker: r.worker, Ledger: l, Pool: p,
 		Metrics: metrics.New(), ConfigVersion: func() uint64 { return 0 },
 		Timing: Timing{ReportInterval: testReportInterval, WorkerLease: testWorkerLease, ReportTimeout: time.Second, CallTimeout: time.Second, WorkerCallTimeout: time.Second},
 	})
 	r.t.Cleanup(n.calls.Close)
-	n.Announce(message.WorkerInfo{ID: r.worker.id, StartedMs: r.worker.startedAt.UnixMilli(), Service: "s", Capacity: testCapacity}, 1)
-	n.extendGrant(r.clock.Now().Add(testGrant))
-	r.poll(n)
 	return n
 }
 
@@ -289,13 +302,15 @@
 	return job.RunKey{Task: job.TaskID{Job: id}, Run: number}
 }
 
-func (r *rig) orderStarts(n *Node, keys ...job.RunKey) {
+func (r *rig) orderStarts(n *Node, keys ...job.RunKey) { n.applyOrdersUnchecked(ordersFor(keys...)) }
+
+func ordersFor(keys ...job.RunKey) *message.Orders {
 	o := message.Orders{}
 	for _, k := range keys {
 		o.Inputs = append(o.Inputs, message.JobInput{Job: k.Task.Job, Input: []byte("input")})
 		o.Starts = append(o.Starts, message.StartRun{Key: k, Need: testNeed, Charge: testNeed})
 	}
-	n.applyOrdersUnchecked(&o)
+	return &o
 }
 
 // eventually waits up to 5 s for a condition. It advances the clock to end the retry delays of
--- a/process/runs/node.go
+++ b/process/runs/node.go
@@ -99,15 +99,15 @@
 	cancel context.CancelFunc // ends pollLoop
 	wg     sync.WaitGroup
 
-	mu               lockrank.Mutex // guards the fields below; taken after leaderClient.mu; no remote calls under either
-	worker           message.WorkerInfo
-	announceSequence uint64
-	instance         string // worker ID in calls, so that another worker refuses them; empty: whichever responds
-	clock            workerClock
-	token            int64     // fencing token of calls; the worker refuses lower ones than it has seen
-	grantEnd         time.Time // end of the leader's grant, by the agent's clock
-	lease            workerLease
-	unresponsive     bool // the latest poll had no response
+	mu            lockrank.Mutex     // guards the fields below; taken after leaderClient.mu; no remote calls under either
+	worker        message.WorkerInfo // latest description by an instance that has responded to polls
+	announcements announcements
+	instance      string // worker ID in calls, so that another worker refuses them; empty: whichever responds
+	clock         workerClock
+	token         int64     // fencing token of calls; the worker refuses lower ones than it has seen
+	grantEnd      time.Time // end of the leader's grant, by the agent's clock
+	lease         workerLease
+	unresponsive  bool // the latest poll had no response
 	// listedAt is when the latest listing arrived, polledAt when its poll was sent; zero: none.
 	listedAt, polledAt time.Time
 	instanceStartMs    int64 // latest listing's worker instance: Unix time of its start, in ms; 0: none yet
@@ -138,6 +138,7 @@
 	state                message.RunState
 	reported             message.RunState // state in the latest report that included the run
 	startedAt            time.Time        // when it was admitted or, if not ordered here, first listed
+	instanceStartMs      int64            // instance by whose capacity it was admitted
 	confirmationReported bool
 	evictionCause        job.EvictionCause // why this agent stops the run; empty: the leader ordered it
 	usage                resources.Resources
@@ -203,38 +204,6 @@
 	n.calls.Close()
 }
 
-// Announce applies the worker's announcement of itself, unless it is from an earlier worker
-// instance or its sequence is not above the latest of the same instance.
-func (n *Node) Announce(w message.WorkerInfo, sequence uint64) {
-	n.mu.Lock()
-	older := w.StartedMs < n.worker.StartedMs || (w.StartedMs == n.worker.StartedMs && w.ID == n.worker.ID && sequence <= n.announceSequence)
-	if older {
-		n.mu.Unlock()
-		return
-	}
-	w.Reachable = n.worker.Reachable
-	differs := !sameWorker(&w, &n.worker)
-	n.worker, n.announceSequence, n.instance = w, sequence, w.ID
-	n.unreportedChange = n.unreportedChange || differs
-	n.mu.Unlock()
-	n.cfg.Ledger.SetCapacity(w.Capacity)
-	if differs {
-		n.cfg.Log.Emit(event.WorkerAnnounced, "worker", w.ID, "service", w.Service, "state", stateOf(w), "remaining_ms", w.LeavesInMs)
-		n.leader.triggerReport()
-	}
-}
-
-// Withdraw records that the worker with this ID has departed; its runs end with it.
-func (n *Node) Withdraw(id string) {
-	n.mu.Lock()
-	if n.worker.ID == id {
-		n.worker.Reachable, n.worker.Draining, n.unreportedChange = false, true, true
-	}
-	n.mu.Unlock()
-	n.cfg.Log.Emit(event.WorkerLeft, "worker", id)
-	n.leader.triggerReport()
-}
-
 // Draining reports whether the worker has announced that it is draining, or has departed.
 func (n *Node) Draining() bool {
 	n.mu.Lock()
--- a/process/runs/orders.go
+++ b/process/runs/orders.go
@@ -118,6 +118,8 @@
 		reason = message.RefusedInput
 	case n.worker.Draining || n.plannedStop:
 		reason = "draining"
+	case !n.isAnnounced():
+		reason = "the worker has not announced itself"
 	case n.hasUnknownRun():
 		reason = "a run of unknown size is here"
 	default:
@@ -135,7 +137,7 @@
 		return nil
 	}
 	now := n.cfg.Clock.Now()
-	r := &run{order: *o, known: true, startedAt: now}
+	r := &run{order: *o, known: true, startedAt: now, instanceStartMs: n.instanceStartMs}
 	r.state = message.RunState{Key: o.Key, Checkpoint: o.Checkpoint, PacePct: fullPace}
 	r.paceKnown = true
 	n.runs[o.Key] = r
--- a/process/runs/runs_test.go
+++ b/process/runs/runs_test.go
@@ -149,6 +149,8 @@
 	require.Equal(t, message.RunEnd{Key: a, How: job.EndDone, Serial: 1}, report.Ends[0])
 	require.Equal(t, job.EndLeaseExpired, report.Ends[1].How)
 	r.node.markRecorded(2, r.node.leader.session)
+	r.announce(r.node, testCapacity, 1)
+	r.poll(r.node)
 	c := runKey("c", 1)
 	r.orderStarts(r.node, c)
 	r.eventually("the next one runs", func() bool { return r.node.isConfirmed(c) })
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -133,7 +133,7 @@
 	n.applySelfDescription(list)
 	n.usageAge = time.Duration(list.UsageAgeMs) * time.Millisecond
 	expired := n.applyInstance(sent, now, previousLeaseEnd, list)
-	if !n.worker.Reachable {
+	if !n.worker.Reachable && n.isAnnounced() {
 		n.worker.Reachable, n.unreportedChange = true, true
 		n.cfg.Log.Emit(event.WorkerReachable, "worker", n.worker.ID, "silent_ms", elapsedMs(now, n.listedAt))
 	}
@@ -199,6 +199,7 @@
 		}
 		n.instanceStartMs, n.lastRecorded, n.clock = list.StartedMs, 0, workerClock{}
 		n.unreportedChange = true
+		n.describeInstance()
 	} else if n.clock.instanceStartMs == list.StartedMs && !previousLeaseEnd.IsZero() {
 		expired = sent.After(previousLeaseEnd) && len(n.runs)+len(n.ends) > 0
 	}
@@ -209,6 +210,17 @@
 	return expired
 }
 
+// describeInstance puts the description of a new instance in force. One that has not announced
+// itself yet gets no runs and is reported as unreachable until it has. The caller holds mu.
+func (n *Node) describeInstance() {
+	n.instance = ""
+	if w, ok := n.announcements.of(n.instanceStartMs); ok {
+		n.putInForce(w)
+	} else if !n.isAnnounced() {
+		n.worker.Reachable = false
+	}
+}
+
 // voidEnds marks the ends that no leader had recorded when the lease expired as
 // void: a leader that waited for the expiry may have started their tasks elsewhere.
 // The caller holds mu.
