--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -66,11 +66,11 @@
 			n.cancelStart(ctx, r)
 			return
 		}
-		req, leaseEnd, needed := n.startRequest(r)
+		req, lease, needed := n.startRequest(r)
 		if !needed {
 			return
 		}
-		if req.LeaseUntilMs == 0 {
+		if lease == nil {
 			if !n.mayHaveStarted(r) {
 				n.refuse(r, message.RefusedLease, false)
 				return
@@ -83,7 +83,7 @@
 		bounded, cancel := context.WithTimeout(ctx, n.cfg.Timing.WorkerCallTimeout)
 		clockMs, err := n.cfg.Worker.Start(bounded, req)
 		cancel()
-		n.advanceWorkerLease(leaseEnd, err)
+		n.finishStart(r, lease, req.Token, err)
 		var refusal *platform.RefusalError
 		switch {
 		case err == nil:
@@ -91,11 +91,8 @@
 			return
 		case errors.As(err, &refusal) && refusal.Reason == platform.RefusedFenced:
 			n.raiseToken(req.Token)
-		case errors.As(err, &refusal) && refusal.Reason == platform.RefusedOldRun:
-			n.resolveStart(ctx, r)
-			return
 		case errors.As(err, &refusal):
-			n.refuse(r, string(refusal.Reason), refusal.Reason == platform.RefusedUnhealthy)
+			n.startRefused(ctx, r, refusal.Reason)
 			return
 		case errors.Is(err, platform.ErrUnavailable):
 			if dials++; dials >= maxDialAttempts && !n.mayHaveStarted(r) {
@@ -104,7 +101,8 @@
 			}
 			n.sleep(ctx, startRetryDelay)
 		default:
-			n.fenceStart(r, req.Token)
+			n.cfg.Metrics.Add(metrics.StartsUnanswered, 1)
+			n.cfg.Log.Emit(event.StartUnanswered, "task", r.order.Key.Task.String(), "run", r.order.Key.Run)
 		}
 	}
 }
@@ -117,35 +115,65 @@
 }
 
 // startRequest builds a start request; needed is false once the run is confirmed or removed.
-// leaseEnd is by the agent's clock; without a lease, it and req.LeaseUntilMs are zero.
-func (n *Node) startRequest(r *run) (req platform.RunRequest, leaseEnd time.Time, needed bool) {
+// lease is nil if the run may get no lease; the start must then not be sent.
+func (n *Node) startRequest(r *run) (req platform.RunRequest, lease *leaseRequest, needed bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.runs[r.order.Key] != r || !r.confirmedAt.IsZero() {
-		return req, leaseEnd, false
+		return req, nil, false
 	}
 	req = platform.RunRequest{
 		RunKey: r.order.Key, Token: n.token, Instance: n.instance, Checkpoint: r.order.Checkpoint,
 		Ticket: r.order.Ticket, Input: n.inputs[r.order.Key.Task.Job], Need: r.order.Need,
 		LongRunning: r.order.LongRunning, Profile: r.order.Profile, Franchisee: r.order.Franchisee,
 	}
-	req.LeaseUntilMs, leaseEnd = n.leaseUntil(n.cfg.Clock.Now())
-	if n.unresponsive && leaseEnd.After(n.workerLeaseEnd) {
-		// The lease of an unresponsive worker is not extended, as in holdRequest.
-		req.LeaseUntilMs, leaseEnd = 0, time.Time{}
+	untilMs, leaseEnd := n.leaseUntil(n.cfg.Clock.Now())
+	if untilMs == 0 || n.unresponsive && leaseEnd.After(n.lease.end()) {
+		return req, nil, true // the lease of an unresponsive worker is not extended, as in holdRequest
 	}
-	if req.LeaseUntilMs != 0 {
-		n.leaseCalls++
+	req.LeaseUntilMs = untilMs
+	r.startInFlight = true
+	return req, n.lease.request(leaseEnd), true
+}
+
+// startRefused handles a refusal that repeating the start would not change. An earlier copy that
+// had no response may have been executed, or may still be: an unhealthy worker has not recorded
+// the higher token of the copy that it refuses.
+func (n *Node) startRefused(ctx context.Context, r *run, reason platform.Refusal) {
+	unhealthy := reason == platform.RefusedUnhealthy
+	if reason == platform.RefusedOldRun || n.mayHaveStarted(r) {
+		n.resolveStart(ctx, r, string(reason), unhealthy)
+		return
 	}
-	return req, leaseEnd, true
+	n.refuse(r, string(reason), unhealthy)
 }
 
-// startObsolete reports whether the start of an unconfirmed run must no longer be sent.
+// finishStart records the return of a start. If it had no response, finishStart raises the
+// token, so that the worker refuses the start if it has not executed it before the next call
+// arrives.
+func (n *Node) finishStart(r *run, lease *leaseRequest, token int64, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lease.finish(lease, !errors.Is(err, platform.ErrUnavailable))
+	r.startInFlight = false
+	var refusal *platform.RefusalError
+	if err == nil || errors.As(err, &refusal) || errors.Is(err, platform.ErrUnavailable) {
+		return
+	}
+	r.noResponseAt = n.cfg.Clock.Now()
+	if n.token == token {
+		n.token++
+	}
+}
+
+// startObsolete reports whether the start of an unconfirmed run must no longer be sent: it is to
+// stop, its order is too old, or another worker instance has taken the place of the one by whose
+// capacity it was admitted.
 func (n *Node) startObsolete(r *run) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.runs[r.order.Key] == r && r.confirmedAt.IsZero() &&
-		(r.stopping || n.cfg.Clock.Since(r.startedAt) > maxStartAge)
+		(r.stopping || r.instanceStartMs != n.instanceStartMs || n.cfg.Clock.Since(r.startedAt) > maxStartAge)
 }
 
 // cancelStart ensures that an unconfirmed run never starts or is stopped: after a stop, the
@@ -164,7 +192,7 @@
 			return // sendStops stops a confirmed run
 		}
 		if n.sendStop(ctx, r.order.Key) == nil {
-			n.resolveStart(ctx, r)
+			n.resolveStart(ctx, r, string(platform.RefusedOldRun), false)
 			return
 		}
 		n.sleep(ctx, startRetryDelay)
@@ -198,19 +226,6 @@
 	}
 }
 
-// fenceStart records a start call without a response and raises the token, so that the worker
-// refuses the start if it has not executed it before the next call arrives.
-func (n *Node) fenceStart(r *run, token int64) {
-	n.mu.Lock()
-	r.noResponseAt = n.cfg.Clock.Now()
-	if n.token == token {
-		n.token++
-	}
-	n.mu.Unlock()
-	n.cfg.Metrics.Add(metrics.StartsUnanswered, 1)
-	n.cfg.Log.Emit(event.StartUnanswered, "task", r.order.Key.Task.String(), "run", r.order.Key.Run)
-}
-
 // mayHaveStarted reports whether a start had no response: the worker may have executed it.
 func (n *Node) mayHaveStarted(r *run) bool {
 	n.mu.Lock()
@@ -218,11 +233,12 @@
 	return !r.noResponseAt.IsZero()
 }
 
-// resolveStart waits until it is known whether a run exists whose start the worker no longer
-// accepts, because it knows this run or a higher one or was ordered to stop it. The next
-// listing shows the run if a copy of the start was executed; else the run is refused. A listing
-// that was requested before this call may predate the start and does not count.
-func (n *Node) resolveStart(ctx context.Context, r *run) {
+// resolveStart waits until it is known whether a run exists whose start the worker has refused
+// or will refuse. The next listing shows the run if a copy of the start was executed; else the
+// run is refused with reason and unhealthy, see refuse. The poll of that listing carries a
+// higher token than every copy without a response, so the worker executes none afterwards. A
+// listing that was requested before this call may predate the start and does not count.
+func (n *Node) resolveStart(ctx context.Context, r *run, reason string, unhealthy bool) {
 	began := n.cfg.Clock.Now()
 	for ctx.Err() == nil {
 		n.mu.Lock()
@@ -233,7 +249,7 @@
 			return
 		}
 		if fresh {
-			n.refuse(r, string(platform.RefusedOldRun), false)
+			n.refuse(r, reason, unhealthy)
 			return
 		}
 		n.sleep(ctx, startRetryDelay)
