process/schedule: adopt runs of occurrences that are not due by this clock

Two runs of a task of a repeating job were possible after a change of the leader, without any other fault than clocks that differ.

Cause: each leader creates the occurrences of a job when they are due by its own clock, and wall clocks differ by seconds once one has jumped. A new leader whose clock is behind received the runs of an occurrence that it had not created. They counted as runs of an unknown task: stopped, and not in the table. When the occurrence became due, its tasks were started at once, even if the stops had not been carried out. Ends of such runs were acknowledged and dropped, so that a completed occurrence ran again.

The test on the code before; without its first check the second one fails:

--- FAIL: TestRunOfAnOccurrenceThatIsNotDueIsAdopted restore_test.go:408: Should be empty, but was [{{j.0.0.0 1}}] restore_test.go:412: Should be empty, but was map[{j.0.0.0 4097}:a] Messages: the run of the earlier leader goes on

A full report now creates the occurrences up to those that it names: only a leader by whose clock they were due can have started them.

go test -race on process/schedule passes.

--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -70,6 +70,9 @@
 		t.applySummary(a, r.Summary)
 	}
 	t.pairings.Merge(r.Pairings)
+	if r.Full {
+		t.createAllStarted(now, r)
+	}
 	for i := range r.Running {
 		t.applyRunState(now, a, &r.Running[i], r.Full)
 	}
@@ -91,6 +94,16 @@
 	return reply
 }
 
+// createAllStarted calls createStarted for all runs and ends of a report.
+func (t *Table) createAllStarted(now time.Time, r *message.Report) {
+	for i := range r.Running {
+		t.createStarted(now, r.Running[i].Key.Task)
+	}
+	for i := range r.Ends {
+		t.createStarted(now, r.Ends[i].Key.Task)
+	}
+}
+
 // ReachableAgents returns the number of agents that have missed fewer than
 // maxMissedReports reports, and of all agents that are attached or belong to the
 // previous term and may still have runs.
--- a/process/schedule/jobs.go
+++ b/process/schedule/jobs.go
@@ -143,16 +143,33 @@
 			t.futureJobs[j] = struct{}{}
 			return
 		}
-		o := t.newOccurrence(j, k, mayHaveRuns)
-		j.occurrences = append(j.occurrences, o)
-		for _, s := range o.steps {
-			t.updateReady(now, s)
-		}
-		t.finishIfDone(now, o)
+		t.createOccurrence(now, j, mayHaveRuns)
 	}
 	delete(t.futureJobs, j)
 }
 
+// createOccurrence creates the next occurrence of a job.
+func (t *Table) createOccurrence(now time.Time, j *jobState, mayHaveRuns bool) {
+	o := t.newOccurrence(j, len(j.occurrences), mayHaveRuns)
+	j.occurrences = append(j.occurrences, o)
+	for _, s := range o.steps {
+		t.updateReady(now, s)
+	}
+	t.finishIfDone(now, o)
+}
+
+// createStarted creates the occurrences up to that of a reported task: the clock of an earlier
+// leader, by which they were due, may be ahead.
+func (t *Table) createStarted(now time.Time, id job.TaskID) {
+	j := t.jobs[id.Job]
+	if j == nil || j.state.Terminal() || id.Occurrence >= j.def.OccurrenceCount() {
+		return
+	}
+	for len(j.occurrences) <= id.Occurrence {
+		t.createOccurrence(now, j, j.mayHaveRuns && len(t.unconfirmedAgents) > 0)
+	}
+}
+
 // newOccurrence returns the k-th occurrence of a job with its recorded progress. With
 // mayHaveRuns its unfinished tasks are not placed before requeueRestored.
 func (t *Table) newOccurrence(j *jobState, k int, mayHaveRuns bool) *occurrence {
--- a/process/schedule/restore_test.go
+++ b/process/schedule/restore_test.go
@@ -391,3 +391,29 @@
 	_, agent := onlyEntry(t, b.starts())
 	require.Equal(t, "b", agent)
 }
+
+// Guards against two runs of one task in a repeating job when the clock of a new leader is
+// behind that of an earlier one, which has started an occurrence that is not due here yet: its
+// run was stopped as one of an unknown task, was not in the table, and the occurrence was
+// started when it became due.
+func TestRunOfAnOccurrenceThatIsNotDueIsAdopted(t *testing.T) {
+	b := newTestbench(t, 2)
+	def := definition("j", checkProfile, 1)
+	def.Occurrences, def.FirstMs, def.IntervalMs = 3, b.now().Add(time.Second).UnixMilli(), 60_000
+	until := b.now().Add(time.Minute)
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, map[string]time.Time{"a": until})
+	k := key("j", 0, 0, 1)
+	b.report("a", message.Report{Session: 1, Full: true, Worker: workerInfo("a"), Running: []message.RunState{{Key: k, PacePct: fullPacePct}}})
+	b.register()
+	require.Empty(t, b.orders("a").Stops)
+	b.clock.Advance(time.Second)
+	b.report("a", message.Report{Running: []message.RunState{{Key: k, PacePct: fullPacePct}}})
+	b.tick()
+	require.Empty(t, b.starts(), "the run of the earlier leader goes on")
+	b.report("a", message.Report{Ends: []message.RunEnd{runEnd(k, job.EndDone, 1)}})
+	b.clock.Advance(time.Minute)
+	b.report("a", message.Report{})
+	b.tick()
+	k, _ = onlyEntry(t, b.starts())
+	require.Equal(t, 1, k.Task.Occurrence)
+}
