process/schedule: accept full reports only from agents that know the term

A leader counted an agent as its own although the agent could still accept grants of an earlier term.

Cause: an agent learns a term from whoever names the leader or from a reply. An entry with an old view names a process that led an earlier term and leads again: the agent sends it a full report while it knows only the earlier one. If the reply is lost, the agent may follow a leader of a term in between, which the store does not reach, while this leader has confirmed it, takes its term for settled, and later starts its tasks elsewhere.

The test on the code before (with the field only):

--- FAIL: TestFullReportMustKnowTheTerm restore_test.go:430: Should be true

A report carries the highest term that the agent has seen. A full report with a lower one is answered by a request for another, whose reply tells the term. That costs a round trip in this case only.

go test -race on process/schedule and process/runs passes.

--- a/connection/message/runs.go
+++ b/connection/message/runs.go
@@ -80,6 +80,8 @@
 	// ignores a report that arrives after a later one.
 	Session  uint64 `msgpack:"s"`
 	Sequence uint64 `msgpack:"q"`
+	// Term is the highest term that the agent has seen. 0: an agent of an earlier version.
+	Term uint64 `msgpack:"n,omitempty"`
 	// Full is set if Running and Ends are complete: a run that is in neither does
 	// not exist at this worker and never will.
 	Full          bool         `msgpack:"f,omitempty"`
--- a/process/runs/leader_client.go
+++ b/process/runs/leader_client.go
@@ -269,7 +269,7 @@
 	l.sentAt = now
 	r := &message.Report{
 		Agent: l.node.cfg.ID, Address: l.node.cfg.Address(), Location: l.node.cfg.Location,
-		Session: l.session, Sequence: l.sequence, Full: l.nextFull, ConfigVersion: l.node.cfg.ConfigVersion(),
+		Session: l.session, Sequence: l.sequence, Term: l.term, Full: l.nextFull, ConfigVersion: l.node.cfg.ConfigVersion(),
 	}
 	l.nextFull = false
 	l.lastSerial = l.node.fillReport(r, l.lastSerial)
--- a/process/runs/leader_client_test.go
+++ b/process/runs/leader_client_test.go
@@ -64,6 +64,7 @@
 	session := l.session
 	l.followLeader(leader, "entry", "127.0.0.1:8")
 	require.Equal(t, session, l.session)
+	require.Equal(t, leader.Term, l.buildReport(r.clock.Now()).Term, "the leader must know what the agent has seen")
 	require.False(t, l.followLeader(message.Leader{Term: 2, Address: "127.0.0.1:7"}, "entry", "127.0.0.1:7"))
 }
 
--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -45,7 +45,8 @@
 
 // ApplyReport applies a report of an agent. The reply grants a lease of Config.Lease, or
 // asks for a full report if this one is not of the agent's current session and cannot
-// begin a new one. A report that arrives after a later one of its session changes nothing,
+// begin a new one. An agent that begins one accepts no grant of an earlier term any more, so
+// it must have seen this term. A report that arrives after a later one of its session changes nothing,
 // and its reply grants no lease.
 func (t *Table) ApplyReport(now time.Time, r *message.Report) message.ReportReply {
 	t.mu.Lock()
@@ -53,7 +54,8 @@
 	reply := message.ReportReply{Term: t.cfg.Term}
 	a := t.agents[r.Agent]
 	if a == nil || a.session != r.Session {
-		if !r.Full || (a != nil && a.session > r.Session) {
+		behind := r.Term != 0 && r.Term < t.cfg.Term // the reply tells the agent the term
+		if !r.Full || behind || (a != nil && a.session > r.Session) {
 			reply.NeedFull = true
 			return reply
 		}
--- a/process/schedule/restore_test.go
+++ b/process/schedule/restore_test.go
@@ -417,3 +417,21 @@
 	k, _ = onlyEntry(t, b.starts())
 	require.Equal(t, 1, k.Task.Occurrence)
 }
+
+// Guards against an agent that counts as one which follows this term, but has not seen it: the
+// reply to its full report may be lost, and it may then accept grants of an earlier term that it
+// has not seen either.
+func TestFullReportMustKnowTheTerm(t *testing.T) {
+	b := newTestbench(t, 3)
+	until := b.now().Add(time.Minute)
+	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, map[string]time.Time{"a": until})
+	full := message.Report{Term: 1, Session: 1, Full: true, Worker: workerInfo("a")}
+	reply := b.report("a", full)
+	require.True(t, reply.NeedFull)
+	require.Zero(t, reply.LeaseMs)
+	require.Equal(t, uint64(3), reply.Term)
+	require.False(t, b.table.Settled())
+	full.Term, full.Session = reply.Term, 2
+	require.NotZero(t, b.report("a", full).LeaseMs)
+	require.True(t, b.table.Settled())
+}
