process/lead: shorten the wait only for a follower that knows the term

A new leader could wait too short for an earlier one that still grants leases.

Cause: the wait for agents of earlier terms is shortened when the holder of the previous term follows. Any message Follow of that entry counted, also one for an earlier term of this process that a link had held back while the sender began the previous term.

The test on the code before:

--- FAIL: TestLateMessageDoesNotEndThePreviousTerm "4.18s" is not greater than or equal to "12s"

The message has to name this term: its sender has stepped down from the previous one then.

TestWaitIsShortOnceEarlierTermsAreOver now checks the wait for an agent that is in the store's list; it measured none before, because the leader had removed the agent.

go test -race on process/lead passes.

--- a/process/lead/handle.go
+++ b/process/lead/handle.go
@@ -76,7 +76,7 @@
 	n.mu.Lock()
 	n.knownEntries[f.Entry.ID] = f.Entry
 	n.mu.Unlock()
-	l.recordFollower(f.Entry.ID)
+	l.recordFollower(f)
 	l.addFollower(r.Conn, *f)
 }
 
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -177,9 +177,10 @@
 }
 
 // recordFollower shortens the wait for agents of earlier terms if the follower held the
-// previous one: it grants no leases any more. The leaders before it must not either.
-func (l *leaderTerm) recordFollower(id string) {
-	if id != l.mu.previous.Holder.ID || !l.mu.previous.Settled() {
+// previous one and knows this one: it grants no leases any more. The leaders before it must not
+// either.
+func (l *leaderTerm) recordFollower(f *message.Follow) {
+	if f.Entry.ID != l.mu.previous.Holder.ID || f.Term < l.number || !l.mu.previous.Settled() {
 		return
 	}
 	l.previousEnded.Store(true)
--- a/process/lead/terms_test.go
+++ b/process/lead/terms_test.go
@@ -205,7 +205,22 @@
 	second := claimTerm(t, newProcess(t, "two", store, clock))
 	second.write(t.Context())
 	l := claimTerm(t, newProcess(t, "three", store, clock))
-	l.recordFollower("two")
+	l.recordFollower(&message.Follow{Entry: message.EntryInfo{ID: "two"}, Term: l.number})
+	require.GreaterOrEqual(t, waitForEarlier(t, l, clock), testTiming.Outage+testTiming.Lease)
+}
+
+// Guards against a wait that is shortened by a message from before the previous leader's term,
+// which a link has held back: that leader may still grant leases.
+func TestLateMessageDoesNotEndThePreviousTerm(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := newMemoryStore(t, "a")
+	first := claimTerm(t, newProcess(t, "one", store, clock))
+	late := message.Follow{Entry: message.EntryInfo{ID: "two"}, Term: first.number}
+	second := claimTerm(t, newProcess(t, "two", store, clock)) // from now on isolated
+	join(t, second, "a")
+	second.write(t.Context())
+	l := claimTerm(t, newProcess(t, "one", store, clock))
+	l.recordFollower(&late)
 	require.GreaterOrEqual(t, waitForEarlier(t, l, clock), testTiming.Outage+testTiming.Lease)
 }
 
@@ -215,17 +230,20 @@
 	clock := clockwork.NewFakeClock()
 	store := newMemoryStore(t, "a")
 	first := claimTerm(t, newProcess(t, "one", store, clock))
-	waitForEarlier(t, first, clock)
+	join(t, first, "a")
 	first.write(t.Context())
-	second := claimTerm(t, newProcess(t, "one", store, clock)) // has no agent in the table
-	require.Less(t, waitForEarlier(t, second, clock), testTiming.Outage)
-	second.write(t.Context())
-	third := newProcess(t, "two", store, clock)
-	third.executeStep(t.Context(), term.ReadStore)
-	third.executeStep(t.Context(), term.ClaimTerm)
-	l := third.ownTerm.Load()
-	l.recordFollower("one")
-	require.Less(t, waitForEarlier(t, l, clock), testTiming.Outage)
+	restarted := claimTerm(t, newProcess(t, "one", store, clock))
+	wait := waitForEarlier(t, restarted, clock)
+	require.GreaterOrEqual(t, wait, testTiming.Lease)
+	require.Less(t, wait, testTiming.Outage)
+
+	join(t, restarted, "a")
+	restarted.write(t.Context())
+	next := claimTerm(t, newProcess(t, "two", store, clock))
+	next.recordFollower(&message.Follow{Entry: message.EntryInfo{ID: "one"}, Term: next.number})
+	wait = waitForEarlier(t, next, clock)
+	require.GreaterOrEqual(t, wait, testTiming.Lease)
+	require.Less(t, wait, testTiming.Outage)
 }
 
 // Guards against two runs of a task when the response to the claim of a term is lost: the
