profile, jobstore: bound the amounts of a profile, a quota and a job

Amounts were only checked not to be negative. With a quota or a task of 2^62 thousandths of a processor, sums over tasks overflow and leave room without limit. Since records of jobs with such amounts are unreadable for the leader, a job of such a profile would be accepted and never run. Profiles, quotas, jobs and announcements now have the same bound, resources.MaxAmount, and an entry validates a job before it records it.

On the code before: TestAmountsAreBounded: An error is expected but got nil. TestUnreadableJobIsNotAccepted: Should be false (created)

--- a/process/jobstore/jobs.go
+++ b/process/jobstore/jobs.go
@@ -19,8 +19,12 @@
 // Create records a job unless its id is taken, and returns the stored record. created is
 // true if that equals the record of this call, so also if an earlier call wrote it without
 // a response. A job that ended without having run is recorded again if its input is the
-// same. After platform.ErrUncertain the record may exist or appear later.
+// same. After platform.ErrUncertain the record may exist or appear later; the error for an
+// invalid definition is an *outcome.Error, and nothing is recorded.
 func (s *Jobs) Create(ctx context.Context, def *job.Definition, term uint64) (stored StoredJob, created bool, err error) {
+	if err := def.Validate(); err != nil {
+		return StoredJob{}, false, err // the leader could not read its record
+	}
 	stored, created, err = s.createAt(ctx, def, term, 0)
 	if err == nil && !created && stored.NotRun() && def.Request != nil && stored.InputHash() == def.Request.InputHash {
 		return s.createAt(ctx, def, term, stored.Revision)
--- a/process/jobstore/jobstore_test.go
+++ b/process/jobstore/jobstore_test.go
@@ -12,6 +12,7 @@
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/process/schedule"
 	"camphorhead.example/camphorhead/request/job"
+	"camphorhead.example/camphorhead/request/outcome"
 )
 
 func definition(id string) *job.Definition {
@@ -93,6 +94,17 @@
 	require.Len(t, in.Unreadable, len(odd))
 }
 
+// Guards against a job that is accepted although no leader can read its record.
+func TestUnreadableJobIsNotAccepted(t *testing.T) {
+	store := newFakeStore()
+	d := definition("a")
+	d.Steps[0].Need.MilliCPU = 1 << 62
+	_, created, err := New(store).Create(t.Context(), d, 1)
+	require.False(t, created)
+	require.Equal(t, outcome.InvalidField, outcome.From(err).Kind)
+	require.Empty(t, store.items)
+}
+
 // Guards against writes by the leader of an earlier term.
 func TestFencedLeaderWritesNothing(t *testing.T) {
 	store := newFakeStore()
--- a/request/job/validate.go
+++ b/request/job/validate.go
@@ -5,9 +5,7 @@
 const (
 	// MaxTasks is the largest number of tasks of a job, over all its occurrences.
 	MaxTasks = 1 << 16
-	// maxAmount bounds each resource of a task, so that sums over all tasks of a leader do
-	// not overflow.
-	maxAmount = 1 << 32
+	maxLimit = 1 << 32 // of a limit on a number of tasks
 	// maxEstimateMs bounds the estimated run time of a task, about two years.
 	maxEstimateMs = 1 << 36
 	// maxTimeMs bounds the first due time and the interval of a job, so that the due time
@@ -46,15 +44,14 @@
 			return invalidSteps("a step may only come after earlier steps")
 		}
 	}
-	need := s.Need
 	switch {
 	case s.Count < 1 || s.Count > MaxTasks:
 		return invalidSteps("each step needs 1 to 65536 tasks")
-	case !inRange(need.MilliCPU, maxAmount) || !inRange(need.MemoryMB, maxAmount) || !inRange(need.Accelerators, maxAmount):
+	case !s.Need.InRange():
 		return invalidSteps("the resources of a task must be at least 0 and at most 2^32")
 	case !inRange(s.EstimateMs, maxEstimateMs) || !inRange(s.TargetMs, maxEstimateMs):
 		return invalidSteps("the estimated time and the latency target of a task must be at least 0 and below two years")
-	case !inRange(int64(s.Spread), maxAmount) || !inRange(int64(s.MaxUnavailable), maxAmount):
+	case !inRange(int64(s.Spread), maxLimit) || !inRange(int64(s.MaxUnavailable), maxLimit):
 		return invalidSteps("a limit on the number of tasks must be at least 0 and at most 2^32")
 	}
 	return nil
--- a/request/resources/resources.go
+++ b/request/resources/resources.go
@@ -9,6 +9,15 @@
 	Accelerators int64 `msgpack:"a,omitempty" json:"accelerators" toml:"accelerators"`
 }
 
+// MaxAmount is the largest amount of each kind in a request, a configuration or an
+// announcement; far larger than a machine, and sums of many of them do not overflow.
+const MaxAmount = 1 << 32
+
+// InRange reports whether every dimension is at least 0 and at most MaxAmount.
+func (r Resources) InRange() bool {
+	return !r.IsNegative() && r.Fits(Resources{MaxAmount, MaxAmount, MaxAmount})
+}
+
 // Add returns r plus o.
 func (r Resources) Add(o Resources) Resources {
 	return Resources{r.MilliCPU + o.MilliCPU, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
--- a/version/profile/profile_test.go
+++ b/version/profile/profile_test.go
@@ -11,6 +11,7 @@
 
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/outcome"
+	"camphorhead.example/camphorhead/request/resources"
 )
 
 // Guards against a field of Profile that operators cannot find in docs/profiles.md.
@@ -54,3 +55,14 @@
 		}
 	})
 }
+
+// Guards against amounts of an operator whose sums overflow, or with which a job that an entry
+// has accepted is one that no leader can read.
+func TestAmountsAreBounded(t *testing.T) {
+	huge := resources.Resources{MilliCPU: 1 << 62, MemoryMB: 1}
+	p := Profile{Name: "p", Kind: job.Proof, DeadlineMs: 1, Resources: resources.Resources{MilliCPU: 1, MemoryMB: 1}}
+	require.NoError(t, p.Validate())
+	p.Resources = huge
+	require.Error(t, p.Validate())
+	require.Error(t, Team{Name: "t", Quota: huge}.Validate())
+}
