standin/worker: restarts, late calls and lost responses

The soak had no fault between an agent and its worker, although the users' workers execute calls seconds late without a response, lose responses, refuse starts while unhealthy, and start again under the same ID with a clock, fencing tokens and numbers of ends that begin anew.

The stand-in can now do each of these (CallFaults, Restart). A worker can have a longest lease and a need for tasks whose starts declare none, so that overcommits are counted in the platform's protocol too. A record says whether its start was executed late. Without these settings it behaves as before but for one point of the protocol: a repeated or old start applies its lease.

TestRestartForgets and TestCallFaultsTakeEffect cover the new faults.

--- a/standin/internal/serve/reply.go
+++ b/standin/internal/serve/reply.go
@@ -35,7 +35,7 @@
 	var refusal *platform.RefusalError
 	switch {
 	case errs.Is(err, platform.ErrUncertain):
-		_ = rc.Conn().Close()
+		Abort(rc)
 	case errors.As(err, &refusal):
 		ReplyStatus(rc, fasthttp.StatusConflict, refusal)
 	case err != nil:
@@ -47,6 +47,14 @@
 	}
 }
 
+// Abort closes the connection of a request without a response; a request that has no
+// connection of a server is left as it is.
+func Abort(rc *fasthttp.RequestCtx) {
+	if c, ok := rc.Conn().(*conn); ok {
+		_ = c.Close()
+	}
+}
+
 // ReplyStatus responds with a status and the JSON of value.
 func ReplyStatus(rc *fasthttp.RequestCtx, status int, value any) {
 	body, err := json.Marshal(value)
--- a/standin/worker/calls.go
+++ b/standin/worker/calls.go
@@ -10,6 +10,7 @@
 
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/request/job"
+	"camphorhead.example/camphorhead/request/resources"
 )
 
 func refuse(reason platform.Refusal) error { return &platform.RefusalError{Reason: reason} }
@@ -19,7 +20,8 @@
 	if err := w.waitWhilePaused(ctx); err != nil {
 		return platform.Listing{}, err
 	}
-	if err := w.applyHold(r); err != nil {
+	life, err := w.applyHold(r)
+	if err != nil {
 		return platform.Listing{}, err
 	}
 	w.awaitEnd(ctx, r.Wait)
@@ -31,21 +33,25 @@
 	if w.killed {
 		return platform.Listing{}, platform.ErrUnavailable
 	}
+	if w.life != life {
+		return platform.Listing{}, platform.ErrUncertain
+	}
 	return w.list(w.applyDue()), nil
 }
 
-// applyHold checks the call, extends the lease and drops the ends up to r.Recorded.
-func (w *Worker) applyHold(r platform.HoldRequest) error {
+// applyHold checks the call, extends the lease and drops the ends up to r.Recorded. life is
+// the one that received the call.
+func (w *Worker) applyHold(r platform.HoldRequest) (life int, err error) {
 	defer w.loop.Wake()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.applyDue()
 	if err := w.checkCall(r.Token, r.Instance); err != nil {
-		return err
+		return 0, err
 	}
 	w.extendLease(r.LeaseUntilMs)
 	w.ended = slices.DeleteFunc(w.ended, func(e platform.EndedTask) bool { return e.Number <= r.Recorded })
-	return nil
+	return w.life, nil
 }
 
 // checkCall fails after Kill, for a call to another instance and for a fencing token below
@@ -66,9 +72,13 @@
 // extendLease moves the end of the common lease of all tasks, unless it would become
 // earlier or is not in the future. The caller holds the lock.
 func (w *Worker) extendLease(untilMs int64) {
-	if untilMs <= w.clock.nowMs() {
+	now := w.clock.nowMs()
+	if untilMs <= now {
 		return
 	}
+	if w.config.MaxLease > 0 {
+		untilMs = min(untilMs, now+w.config.MaxLease.Milliseconds())
+	}
 	if end := w.clock.baseTime(untilMs); end.After(w.leaseEnd) {
 		w.leaseEnd = end
 		for _, t := range w.running {
@@ -99,7 +109,7 @@
 // list returns a listing. The caller holds the lock.
 func (w *Worker) list(now time.Time) platform.Listing {
 	l := platform.Listing{
-		Worker: w.config.Name, Capacity: w.config.Capacity, StartedMs: w.startedMs, ClockMs: w.clock.nowMs(),
+		Worker: w.config.Name, Capacity: w.capacity, StartedMs: w.startedMs, ClockMs: w.clock.nowMs(),
 		Ended: slices.Clone(w.ended), UsageAgeMs: w.config.UsageLag.Milliseconds(),
 	}
 	for _, t := range w.running {
@@ -112,7 +122,7 @@
 }
 
 // Start implements platform.Worker. While one run of a task exists, it refuses every other
-// run of the task. It does not refuse a start for lack of capacity.
+// run of the task, but applies the lease. It does not refuse a start for lack of capacity.
 func (w *Worker) Start(ctx context.Context, req platform.RunRequest) (clockMs int64, err error) {
 	if err := w.waitWhilePaused(ctx); err != nil {
 		return 0, err
@@ -121,6 +131,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if req.Need == (resources.Resources{}) {
+		req.Need = w.config.Need
+	}
 	behaviour := w.behaviourOf(req)
 	defer w.loop.Wake()
 	w.mu.Lock()
@@ -130,9 +143,11 @@
 		return 0, err
 	}
 	if t := w.running[req.Task]; t != nil && t.req.Run == req.Run {
+		w.extendLease(req.LeaseUntilMs)
 		return w.clock.nowMs(), nil
 	}
 	if req.Run <= w.highestRun[req.Task] || w.running[req.Task] != nil {
+		w.extendLease(req.LeaseUntilMs)
 		return 0, refuse(platform.RefusedOldRun)
 	}
 	if req.LeaseUntilMs <= w.clock.nowMs() {
@@ -142,7 +157,9 @@
 	if w.failAll {
 		behaviour.FailAfter = failAllAfter(req, behaviour, progress, w.config.FailAllAfter)
 	}
-	w.addTask(newTask(req, behaviour, progress, now, w.leaseEnd))
+	t := newTask(req, behaviour, progress, now, w.leaseEnd)
+	t.record.Late = ctx.Value(lateCall{}) != nil
+	w.addTask(t)
 	return w.clock.nowMs(), nil
 }
 
@@ -173,10 +190,10 @@
 	w.records = append(w.records, t.record)
 	w.declared = w.declared.Add(t.req.Need)
 	w.real = w.real.Add(t.behaviour.Real)
-	if !w.declared.Fits(w.config.Capacity) {
+	if !w.declared.Fits(w.capacity) {
 		w.overcommits.declared++
 	}
-	if w.real.MemoryMB > w.config.Capacity.MemoryMB {
+	if w.real.MemoryMB > w.capacity.MemoryMB {
 		w.overcommits.real++
 	}
 	w.due.Set(t.key(), t.nextEvent())
--- a/standin/worker/clock.go
+++ b/standin/worker/clock.go
@@ -18,7 +18,11 @@
 }
 
 func newSkewedClock(config Config) skewedClock {
-	return skewedClock{config.Clock, config.Clock.Now(), config.ClockOffset, config.ClockRate}
+	now, offset := config.Clock.Now(), config.ClockOffset
+	if config.ClockStartMs != 0 {
+		offset = time.UnixMilli(config.ClockStartMs).Sub(now)
+	}
+	return skewedClock{config.Clock, now, offset, config.ClockRate}
 }
 
 func (c skewedClock) startMs() int64 { return c.start.Add(c.offset).UnixMilli() }
--- a/standin/worker/handler.go
+++ b/standin/worker/handler.go
@@ -10,7 +10,7 @@
 	"camphorhead.example/standin/internal/serve"
 )
 
-func (w *Worker) handle(ctx context.Context, rc *fasthttp.RequestCtx) {
+func (w *Worker) dispatch(ctx context.Context, rc *fasthttp.RequestCtx) {
 	switch string(rc.Path()) {
 	case platform.PathHold:
 		w.handleHold(ctx, rc)
--- a/standin/worker/record.go
+++ b/standin/worker/record.go
@@ -25,6 +25,7 @@
 	Task           string // job.TaskID in text form
 	Incarnation    uint32 // number of the run
 	Lasts          bool   // set for a long-running task
+	Late           bool   // set if the start had no response and was executed late
 	Profile        string
 	Start, End     time.Time // by Config.Clock, which all stand-ins of a deployment share
 	Outcome        Outcome
@@ -84,7 +85,7 @@
 	for _, t := range w.running {
 		neighbours = append(neighbours, interference.Neighbour{
 			Profile: t.req.Profile, ThrottlePct: t.throttle,
-			CPUShare: float64(t.behaviour.Real.MilliCPU) / float64(max(w.config.Capacity.MilliCPU, 1)),
+			CPUShare: float64(t.behaviour.Real.MilliCPU) / float64(max(w.capacity.MilliCPU, 1)),
 		})
 	}
 	return neighbours
--- a/standin/worker/wire.go
+++ b/standin/worker/wire.go
@@ -11,6 +11,7 @@
 
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/request/job"
+	"camphorhead.example/camphorhead/request/resources"
 	"camphorhead.example/standin/internal/serve"
 )
 
@@ -36,6 +37,9 @@
 	Finished  []row  `json:"finished,omitempty"`
 }
 
+// wirePathStart is the path of a start.
+const wirePathStart = "/-/run-start"
+
 // row is one run in a listing, encoded as an array.
 type row []any
 
@@ -52,7 +56,7 @@
 // handleWire serves the platform's protocol; it returns false for other paths.
 func (w *Worker) handleWire(ctx context.Context, rc *fasthttp.RequestCtx) bool {
 	serveCall := map[string]func(context.Context, *wireCall, string) (*wireResponse, error){
-		"/-/hold": w.wireHold, "/-/run-start": w.wireStart, "/-/run-stop": w.wireStop, "/-/pace": w.wirePace,
+		"/-/hold": w.wireHold, wirePathStart: w.wireStart, "/-/run-stop": w.wireStop, "/-/pace": w.wirePace,
 	}[string(rc.Path())]
 	if serveCall == nil {
 		return false
@@ -66,7 +70,11 @@
 	if response == nil {
 		response = &wireResponse{}
 	}
-	response.ClockMs, response.StartedMs = w.ClockMs(), w.startedMs
+	if errors.Is(err, platform.ErrUncertain) {
+		serve.Abort(rc)
+		return true
+	}
+	response.ClockMs, response.StartedMs, _ = w.status()
 	serve.ReplyStatus(rc, wireStatus(err, response), response)
 	return true
 }
@@ -142,6 +150,13 @@
 	return nil, w.Throttle(ctx, key, c.Percent, c.FencingToken, instance)
 }
 
+// status returns the time of the worker's clock, its start in unix milliseconds and its capacity.
+func (w *Worker) status() (clockMs, startedMs int64, capacity resources.Resources) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clock.nowMs(), w.startedMs, w.capacity
+}
+
 const announceInterval = 300 * time.Millisecond
 
 // Announce announces the worker to the registry of its agent, a host:port, every
@@ -150,10 +165,14 @@
 	client := &fasthttp.Client{}
 	ticker := w.config.Clock.NewTicker(announceInterval)
 	defer ticker.Stop()
+	life := int64(0)
 	for sequence := 1; ; sequence++ {
-		capacity := w.config.Capacity
+		_, startedMs, capacity := w.status()
+		if startedMs != life {
+			life, sequence = startedMs, 1
+		}
 		body, err := json.Marshal(map[string]any{
-			"service": service, "addr": w.Address(), "state": "ready", "sequence": sequence, "born": w.startedMs, "labels": []string{"a", "r1"},
+			"service": service, "addr": w.Address(), "state": "ready", "sequence": sequence, "born": startedMs, "labels": []string{"a", "r1"},
 			"capacity": map[string]int64{"cpu": capacity.MilliCPU, "mem_mb": capacity.MemoryMB, "gpu": capacity.Accelerators},
 		})
 		if err != nil {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -31,8 +32,14 @@
 	Seed      uint64          // determines the random source of Behaviour
 	Clock     clockwork.Clock // nil means the real clock
 	// ClockOffset and ClockRate make the worker's clock differ from Clock; rate 0 means 1.
-	ClockOffset  time.Duration
-	ClockRate    float64
+	ClockOffset time.Duration
+	ClockRate   float64
+	// ClockStartMs, unless 0, is what the worker's clock shows at each start of the worker;
+	// ClockOffset is unused then.
+	ClockStartMs int64
+	MaxLease     time.Duration // longer leases are shortened to it; 0 means no limit
+	// Need is what a task uses whose start declares nothing, as in the platform's protocol.
+	Need         resources.Resources
 	UsageLag     time.Duration // age of the usage in listings
 	FailAllAfter time.Duration // 0 means DefaultFailAllAfter
 }
@@ -40,17 +47,22 @@
 // Worker implements platform.Worker and serves it over HTTP, also by the platform's protocol.
 type Worker struct {
 	config Config
-	clock  skewedClock
 	server *serve.Server
 	loop   *deadline.Loop
 	pause  *gate.Gate
 
+	faults callFaults
+	late   sync.WaitGroup // calls that are executed late
+
 	mu         lockrank.Mutex // guards the fields below
+	clock      skewedClock
+	life       int // counts the restarts
+	capacity   resources.Resources
 	running    map[job.TaskID]*task
 	highestRun map[job.TaskID]uint32 // highest run started or stopped
 	due        *deadline.Queue[job.RunKey]
 	token      int64 // highest received
-	startedMs  int64 // start of the worker, unix milliseconds; constant, so read without the lock
+	startedMs  int64 // start of the worker, unix milliseconds
 	// leaseEnd is the end of the lease of all tasks, by Config.Clock.
 	leaseEnd      time.Time
 	ended         []platform.EndedTask // after the last HoldRequest.Recorded
@@ -72,8 +84,9 @@
 func New(config Config) (*Worker, error) {
 	config = withDefaults(config)
 	w := &Worker{
-		config: config, clock: newSkewedClock(config), pause: gate.New(),
-		mu: lockrank.NewMutex(standin.Rank), running: make(map[job.TaskID]*task),
+		config: config, clock: newSkewedClock(config), pause: gate.New(), capacity: config.Capacity,
+		faults: callFaults{mu: lockrank.NewMutex(standin.Rank)},
+		mu:     lockrank.NewMutex(standin.Rank), running: make(map[job.TaskID]*task),
 		highestRun: make(map[job.TaskID]uint32), due: deadline.NewQueue[job.RunKey](),
 		startedMs: config.Clock.Now().UnixMilli(), nextEnd: make(chan struct{}),
 	}
@@ -106,7 +119,11 @@
 func (w *Worker) Address() string { return w.server.Address() }
 
 // ClockMs returns the time of the worker's own clock in unix milliseconds.
-func (w *Worker) ClockMs() int64 { return w.clock.nowMs() }
+func (w *Worker) ClockMs() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clock.nowMs()
+}
 
 // Token returns the highest fencing token that the worker has received.
 func (w *Worker) Token() int64 {
@@ -118,6 +135,7 @@
 // Close closes the listener and ends all goroutines. It does not end the running tasks.
 func (w *Worker) Close() {
 	w.server.Close()
+	w.late.Wait()
 	w.loop.Close()
 }
 
@@ -132,12 +150,31 @@
 	defer w.mu.Unlock()
 	now := w.applyDue()
 	w.killed = true
+	w.endAll(now)
+}
+
+// endAll ends all tasks without a checkpoint and forgets all ends. The caller holds the lock.
+func (w *Worker) endAll(now time.Time) {
 	for _, t := range w.running {
 		w.end(t, now, job.EndLeaseExpired, OutcomeKilled, "worker was killed")
 	}
 	w.ended = nil
 }
 
+// Restart ends all tasks without a checkpoint, as a crash does, and starts the worker again
+// under its name: it has received no fencing token, its clock and the numbers of its ends begin
+// anew, and it has the given capacity. Calls in progress have no response. The records remain.
+func (w *Worker) Restart(capacity resources.Resources) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endAll(w.applyDue())
+	w.life++
+	w.clock, w.startedMs = newSkewedClock(w.config), w.config.Clock.Now().UnixMilli()
+	w.capacity, w.token, w.leaseEnd = capacity, 0, time.Time{}
+	w.highestRun = make(map[job.TaskID]uint32)
+	w.lastEnd, w.lastListedEnd = 0, 0
+}
+
 // Pause blocks calls until Resume. Tasks keep running and the lease can expire.
 func (w *Worker) Pause() { w.pause.SetClosed(true) }
 
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -225,3 +225,53 @@
 	_, err = w.Hold(ctx, platform.HoldRequest{Token: 1})
 	require.ErrorIs(t, err, platform.ErrUnavailable)
 }
+
+// Guards against a restarted worker that keeps tasks, tokens, ends or the clock of its former
+// life, or grants a lease beyond its limit.
+func TestRestartForgets(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	w, client, ctx := open(t, worker.Config{
+		Name: "w1", Clock: clock, ClockStartMs: 1000, MaxLease: 2 * time.Second, Need: small, Behaviour: worker.AsDeclared(time.Hour),
+	})
+	req := start(w, "job", 1, time.Hour)
+	req.Token, req.Need = 9, resources.Resources{}
+	_, err := client.Start(ctx, req)
+	require.NoError(t, err)
+	clock.Advance(time.Second)
+	require.Equal(t, int64(2000), w.ClockMs())
+	w.Restart(small)
+	after := list(t, ctx, client)
+	require.Empty(t, after.Running)
+	require.Equal(t, int64(1000), after.ClockMs)
+	require.Equal(t, small, after.Capacity)
+	require.Equal(t, worker.OutcomeKilled, w.Records()[0].Outcome)
+	require.Equal(t, small, w.Records()[0].Declared)
+	for _, id := range []string{"job", "other"} {
+		_, err = client.Start(ctx, start(w, id, 1, time.Hour))
+		require.NoError(t, err)
+	}
+	require.Equal(t, 1, w.Overcommits())
+	clock.Advance(2 * time.Second)
+	ended := list(t, ctx, client).Ended
+	require.Equal(t, []job.EndKind{job.EndLeaseExpired, job.EndLeaseExpired}, []job.EndKind{ended[0].How, ended[1].How})
+	require.Equal(t, uint64(1), ended[0].Number)
+}
+
+// Guards against faults of calls without effect: a start executed late counts as refused, a
+// lost response as a start that did nothing, and an unhealthy worker starts tasks.
+func TestCallFaultsTakeEffect(t *testing.T) {
+	w, client, ctx := open(t, worker.Config{Behaviour: worker.AsDeclared(time.Hour)})
+	call := func(id string) error {
+		_, err := client.Start(ctx, start(w, id, 1, time.Hour))
+		return err
+	}
+	w.SetCallFaults(worker.CallFaults{Unhealthy: 100})
+	require.ErrorIs(t, call("unhealthy"), platform.ErrUnavailable)
+	w.SetCallFaults(worker.CallFaults{Lost: 100})
+	require.ErrorIs(t, call("lost"), platform.ErrUncertain)
+	w.SetCallFaults(worker.CallFaults{Late: 100, MaxDelay: time.Millisecond})
+	require.ErrorIs(t, call("late"), platform.ErrUncertain)
+	require.Eventually(t, func() bool { return len(w.Records()) == 2 }, testTimeout, time.Millisecond)
+	require.False(t, w.Records()[0].Late)
+	require.True(t, w.Records()[1].Late)
+}
