standin/worker: downtime of a restart

A restart without downtime let a start that the agent had sent to the former life reach the next one, before any response could have told the agent of it. A process needs time to start; calls in that time are not received.

--- a/standin/worker/clock.go
+++ b/standin/worker/clock.go
@@ -17,12 +17,12 @@
 	rate   float64
 }
 
-func newSkewedClock(config Config) skewedClock {
-	now, offset := config.Clock.Now(), config.ClockOffset
+func newSkewedClock(config Config, start time.Time) skewedClock {
+	offset := config.ClockOffset
 	if config.ClockStartMs != 0 {
-		offset = time.UnixMilli(config.ClockStartMs).Sub(now)
+		offset = time.UnixMilli(config.ClockStartMs).Sub(start)
 	}
-	return skewedClock{config.Clock, now, offset, config.ClockRate}
+	return skewedClock{config.Clock, start, offset, config.ClockRate}
 }
 
 func (c skewedClock) startMs() int64 { return c.start.Add(c.offset).UnixMilli() }
--- a/standin/worker/fault.go
+++ b/standin/worker/fault.go
@@ -44,6 +44,10 @@
 	w.faults.mu.Lock()
 	f := w.faults.current
 	w.faults.mu.Unlock()
+	if !w.isUp() {
+		serve.Abort(rc)
+		return
+	}
 	path := string(rc.Path())
 	isStart := path == platform.PathStart || path == wirePathStart
 	switch draw := rand.IntN(100); {
@@ -59,6 +63,13 @@
 	}
 }
 
+// isUp reports whether no restart is in progress.
+func (w *Worker) isUp() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.config.Clock.Now().Before(w.upAt)
+}
+
 // executeLate executes a call after a delay. The caller gets no response: its connection
 // closes now, or once the call is executed.
 func (w *Worker) executeLate(ctx context.Context, rc *fasthttp.RequestCtx, delay time.Duration) {
@@ -74,7 +85,7 @@
 		case <-w.config.Clock.After(delay):
 		}
 		// No agent can know the capacity of a worker to which it has not sent the call.
-		if _, _, now := w.status(); now == capacity {
+		if _, _, now := w.status(); now == capacity && w.isUp() {
 			w.dispatch(context.WithValue(ctx, lateCall{}, true), &late)
 		}
 	})
--- a/standin/worker/wire.go
+++ b/standin/worker/wire.go
@@ -182,7 +182,9 @@
 		req.SetRequestURI("http://" + registry + "/-/instances/" + w.config.Name)
 		req.Header.SetMethod(fasthttp.MethodPut)
 		req.SetBody(body)
-		_ = client.DoTimeout(req, resp, time.Second) // the next tick repeats a failed announcement
+		if w.isUp() {
+			_ = client.DoTimeout(req, resp, time.Second) // the next tick repeats a failed announcement
+		}
 		fasthttp.ReleaseRequest(req)
 		fasthttp.ReleaseResponse(resp)
 		select {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -56,7 +56,8 @@
 
 	mu         lockrank.Mutex // guards the fields below
 	clock      skewedClock
-	life       int // counts the restarts
+	life       int       // counts the restarts
+	upAt       time.Time // until then, the worker restarts and receives no call
 	capacity   resources.Resources
 	running    map[job.TaskID]*task
 	highestRun map[job.TaskID]uint32 // highest run started or stopped
@@ -84,7 +85,7 @@
 func New(config Config) (*Worker, error) {
 	config = withDefaults(config)
 	w := &Worker{
-		config: config, clock: newSkewedClock(config), pause: gate.New(), capacity: config.Capacity,
+		config: config, clock: newSkewedClock(config, config.Clock.Now()), pause: gate.New(), capacity: config.Capacity,
 		faults: callFaults{mu: lockrank.NewMutex(standin.Rank)},
 		mu:     lockrank.NewMutex(standin.Rank), running: make(map[job.TaskID]*task),
 		highestRun: make(map[job.TaskID]uint32), due: deadline.NewQueue[job.RunKey](),
@@ -162,14 +163,16 @@
 }
 
 // Restart ends all tasks without a checkpoint, as a crash does, and starts the worker again
-// under its name: it has received no fencing token, its clock and the numbers of its ends begin
-// anew, and it has the given capacity. Calls in progress have no response. The records remain.
-func (w *Worker) Restart(capacity resources.Resources) {
+// under its name after downtime: it has received no fencing token, its clock and the numbers of
+// its ends begin anew, and it has the given capacity. Calls in progress and those that arrive
+// meanwhile have no response. The records remain.
+func (w *Worker) Restart(capacity resources.Resources, downtime time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.endAll(w.applyDue())
 	w.life++
-	w.clock, w.startedMs = newSkewedClock(w.config), w.config.Clock.Now().UnixMilli()
+	w.upAt = w.config.Clock.Now().Add(downtime)
+	w.clock, w.startedMs = newSkewedClock(w.config, w.upAt), w.upAt.UnixMilli()
 	w.capacity, w.token, w.leaseEnd = capacity, 0, time.Time{}
 	w.highestRun = make(map[job.TaskID]uint32)
 	w.lastEnd, w.lastListedEnd = 0, 0
