process/runs: request no lease by the clock of another worker instance

Whenever another worker took the place of the one at an agent's address, its first lease ended up to 2 s after the leader's grant. A run that was started in that time outlived the grant if the agent was lost or cut off, and the leader started its task elsewhere: TWICE.

A lease is a time on the worker's own clock, which begins anew with each instance, and a longer lease is only shortened to the platform's maximum (6 s; a grant is 4 s). The refusal by another instance (421) cleared the instance ID in calls but not the sample of the clock, so the next poll, which any instance accepts, requested a lease by the clock of the old one. Before the description of the worker followed the polls, an announcement of the new instance did the same. A response to a start was recorded as a sample of the clock of whichever instance was listed last, so a response of the old instance that arrived after the first listing of the new one did it as well.

The sample is now discarded with the instance ID, and only listings give one. No lease is requested while the instance has not announced itself. Polls come at least twice a second, so the samples of starts are not missed.

--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -81,13 +81,14 @@
 		}
 		began := n.cfg.Clock.Now()
 		bounded, cancel := context.WithTimeout(ctx, n.cfg.Timing.WorkerCallTimeout)
-		clockMs, err := n.cfg.Worker.Start(bounded, req)
+		// The clock in the response is not used: it does not tell which instance has responded.
+		_, err := n.cfg.Worker.Start(bounded, req)
 		cancel()
 		n.finishStart(r, lease, req.Token, err)
 		var refusal *platform.RefusalError
 		switch {
 		case err == nil:
-			n.confirmStart(r, clockMs, began)
+			n.confirmStart(r, began)
 			return
 		case errors.As(err, &refusal) && refusal.Reason == platform.RefusedFenced:
 			n.raiseToken(req.Token)
@@ -199,14 +200,13 @@
 	}
 }
 
-// confirmStart records that the worker accepted a start; clockMs is the worker's clock.
-func (n *Node) confirmStart(r *run, clockMs int64, began time.Time) {
+// confirmStart records that the worker accepted a start.
+func (n *Node) confirmStart(r *run, began time.Time) {
 	now := n.cfg.Clock.Now()
 	n.mu.Lock()
 	if r.confirmedAt.IsZero() {
 		r.confirmedAt = now
 	}
-	n.updateClock(n.instanceStartMs, clockMs, now)
 	stop := r.stopping
 	n.mu.Unlock()
 	n.cfg.Metrics.Add(metrics.RunsStarted, 1)
--- a/process/runs/fake_test.go
+++ b/process/runs/fake_test.go
@@ -53,6 +53,7 @@
 	id           string
 	token        int64 // the highest seen
 	leaseEnd     time.Time
+	maxLease     time.Duration // longer leases are shortened to it; 0: none
 	running      map[job.RunKey]platform.RunningTask
 	highestRun   map[job.TaskID]uint32
 	ended        []platform.EndedTask
@@ -117,7 +118,11 @@
 
 // extend extends the lease to a time of the worker's clock. The caller holds mu.
 func (w *fakeWorker) extend(untilMs int64) {
-	if until := w.startedAt.Add(time.Duration(untilMs) * time.Millisecond); untilMs > 0 && until.After(w.leaseEnd) {
+	until := w.startedAt.Add(time.Duration(untilMs) * time.Millisecond)
+	if longest := w.clock.Now().Add(w.maxLease); w.maxLease > 0 && until.After(longest) {
+		until = longest
+	}
+	if untilMs > 0 && until.After(w.leaseEnd) {
 		w.leaseEnd = until
 	}
 }
@@ -192,10 +197,11 @@
 	return list, err
 }
 
-func (w *fakeWorker) Start(_ context.Context, r platform.RunRequest) (int64, error) {
+func (w *fakeWorker) Start(_ context.Context, r platform.RunRequest) (clockMs int64, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	err := w.call("start", r.Instance, r.Token, func() error {
+	err = w.call("start", r.Instance, r.Token, func() error {
+		clockMs = w.clockMs()
 		w.extend(r.LeaseUntilMs)
 		if _, there := w.running[r.RunKey]; there {
 			return nil
@@ -210,7 +216,7 @@
 		w.running[r.RunKey] = platform.RunningTask{RunKey: r.RunKey, Checkpoint: r.Checkpoint}
 		return nil
 	})
-	return w.clockMs(), err
+	return clockMs, err
 }
 
 func (w *fakeWorker) Stop(_ context.Context, run job.RunKey, token int64, instance string) error {
--- a/process/runs/node.go
+++ b/process/runs/node.go
@@ -159,11 +159,11 @@
 	recorded        bool
 }
 
-// workerClock is a sample of the worker's clock: valueMs at readAt of the agent's clock.
+// workerClock is a sample of the clock of the instance that responds to polls: valueMs at readAt
+// of the agent's clock. readAt is zero if there is none.
 type workerClock struct {
-	valueMs         int64
-	readAt          time.Time
-	instanceStartMs int64
+	valueMs int64
+	readAt  time.Time
 }
 
 // tokenStep exceeds the number of tokens that one agent uses, so that a token
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -78,14 +78,14 @@
 }
 
 // leaseUntil returns the end of the lease to request, by the worker's clock in ms and by the
-// agent's; both zero: no extension, because the leader's grant is over or the worker's clock is
-// unknown. The caller holds mu.
+// agent's; both zero: no extension, because the leader's grant is over, or because the instance
+// that the call reaches or its clock is unknown. The caller holds mu.
 func (n *Node) leaseUntil(now time.Time) (untilMs int64, end time.Time) {
 	end = now.Add(n.cfg.Timing.WorkerLease)
 	if n.grantEnd.Before(end) {
 		end = n.grantEnd
 	}
-	if n.clock.readAt.IsZero() || !end.After(now) {
+	if n.clock.readAt.IsZero() || !n.isAnnounced() || !end.After(now) {
 		return 0, time.Time{}
 	}
 	left := end.Sub(n.clock.readAt)
@@ -99,13 +99,6 @@
 	n.lease.finish(q, !errors.Is(err, platform.ErrUnavailable))
 }
 
-// updateClock records a sample of the worker's clock; 0 is none. The caller holds mu.
-func (n *Node) updateClock(instanceStartMs, valueMs int64, at time.Time) {
-	if valueMs > 0 {
-		n.clock = workerClock{valueMs: valueMs, readAt: at, instanceStartMs: instanceStartMs}
-	}
-}
-
 // pollFailed records a failed poll; any refusal is a response. Unless the token or the instance
 // was refused, a worker without a listing for half of WorkerLease is reported as unreachable.
 func (n *Node) pollFailed(now time.Time, err error) {
@@ -117,8 +110,9 @@
 	case errors.As(err, &refusal) && refusal.Reason == platform.RefusedFenced:
 		n.token += tokenStep
 	case errors.As(err, &refusal) && refusal.Reason == platform.RefusedInstance:
-		// Another worker instance responded; the next poll accepts any.
-		n.instance = ""
+		// Another worker instance responded; the next poll accepts any. It extends nothing: by
+		// the clock of a younger instance, the lease would last as long as that one allows.
+		n.instance, n.clock = "", workerClock{}
 	case n.worker.Reachable && now.Sub(n.listedAt) > n.cfg.Timing.WorkerLease/2:
 		n.worker.Reachable, n.unreportedChange = false, true
 		n.cfg.Log.Emit(event.WorkerUnreachable, "worker", n.worker.ID, "silent_ms", now.Sub(n.listedAt).Milliseconds(), "error", err)
@@ -200,13 +194,15 @@
 		n.instanceStartMs, n.lastRecorded, n.clock = list.StartedMs, 0, workerClock{}
 		n.unreportedChange = true
 		n.describeInstance()
-	} else if n.clock.instanceStartMs == list.StartedMs && !previousLeaseEnd.IsZero() {
+	} else if !previousLeaseEnd.IsZero() {
 		expired = sent.After(previousLeaseEnd) && len(n.runs)+len(n.ends) > 0
 	}
 	if expired {
 		n.voidEnds()
 	}
-	n.updateClock(list.StartedMs, list.ClockMs, now)
+	if list.ClockMs > 0 {
+		n.clock = workerClock{valueMs: list.ClockMs, readAt: now}
+	}
 	return expired
 }
 
