process/schedule: start no task while an orphaned run of it may be alive

A task could be started while a run of it that was to be stopped was still alive.

Cause: a run that an agent lists beside the task's current one, or a task that no longer needs it, is orphaned: it keeps its capacity until its end is reported, but it was not counted as a run of the task. When the current run ended first, the task was requeued and placed at once, however long the worker took to carry out the stop.

The test on the code before:

--- FAIL: TestTaskWaitsForItsOrphanedRuns Should be empty, but was map[{j.0.0.0 4097}:c]

A task counts its orphaned runs and is requeued only when the last of them has been released: its end was reported, a full report does not list it, or the lease of its agent has expired. Speculative tasks, whose runs may overlap, do not wait.

go test -race on process/schedule passes.

--- a/process/schedule/restore_test.go
+++ b/process/schedule/restore_test.go
@@ -435,3 +435,26 @@
 	require.NotZero(t, b.report("a", full).LeaseMs)
 	require.True(t, b.table.Settled())
 }
+
+// Guards against a run that starts while an earlier one of its task may be alive: an agent
+// listed that one beside the current run, and has not reported its end since.
+func TestTaskWaitsForItsOrphanedRuns(t *testing.T) {
+	b := newTestbench(t, 2)
+	until := b.now().Add(time.Minute)
+	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, map[string]time.Time{"a": until, "b": until})
+	first, second := key("j", 0, 0, 1), key("j", 0, 0, 2)
+	list := func(agent string, k job.RunKey) {
+		b.report(agent, message.Report{
+			Session: 1, Full: true, Worker: workerInfo(agent), Running: []message.RunState{{Key: k, PacePct: fullPacePct}},
+		})
+	}
+	list("b", second)
+	list("a", first)
+	b.report("c", message.Report{Session: 1, Full: true, Worker: workerInfo("c")})
+	b.register()
+	require.Equal(t, []message.StopRun{{Key: first}}, b.orders("a").Stops)
+	b.report("b", message.Report{Ends: []message.RunEnd{runEnd(second, job.EndFailed, 1)}})
+	require.Empty(t, b.starts())
+	b.report("a", message.Report{Ends: []message.RunEnd{runEnd(first, job.EndStopped, 1)}})
+	onlyEntry(t, b.starts())
+}
--- a/process/schedule/runs.go
+++ b/process/schedule/runs.go
@@ -85,6 +85,7 @@
 	}
 	run := &runState{task: task, number: key.Run, agent: a, stopping: true, orphaned: true, pacePct: fullPacePct}
 	a.runs[key] = run
+	task.orphans++
 	t.adjustUsage(run, 1)
 	return run
 }
@@ -130,7 +131,7 @@
 const fullPacePct = 100
 
 // release removes a run that has ended or never started and frees its capacity. The task
-// stays active without a run until it is requeued.
+// stays active without a run until it is requeued; the release of an orphaned run does so.
 func (t *Table) release(run *runState) {
 	a := run.agent
 	if a.runs[run.key()] != run {
@@ -144,6 +145,8 @@
 		t.pressure.Remove(run.task.step.id(), run.task.id().String())
 	}
 	if run.orphaned {
+		run.task.orphans--
+		t.requeue(t.cfg.Clock.Now(), run.task)
 		return
 	}
 	if run.task.step.onAgent[a.id]--; run.task.step.onAgent[a.id] == 0 {
@@ -156,9 +159,10 @@
 }
 
 // requeue makes an active task without a run wait for a worker again. Other tasks, such as
-// those that are done, stay as they are.
+// those that are done, stay as they are. A task with orphaned runs stays active until the last
+// of them has been released.
 func (t *Table) requeue(now time.Time, task *taskState) {
-	if task.phase != taskActive || task.run != nil {
+	if task.phase != taskActive || task.run != nil || task.orphans > 0 && !task.step.def.Speculative {
 		return
 	}
 	task.phase, task.endedAt = taskWaiting, now
--- a/process/schedule/state.go
+++ b/process/schedule/state.go
@@ -77,6 +77,7 @@
 	lastExpiredRun uint32
 	checkpoint     string // latest known; empty if there is none
 	run            *runState
+	orphans        int       // orphaned runs that may be alive
 	avoidedAgents  []string  // agents whose workers the task avoids, the oldest first
 	endedAt        time.Time // when the latest run ended
 	// restored is set if the task may have failed in an earlier term at agents that have
