--- a/request/job/validate.go
+++ b/request/job/validate.go
@@ -48,7 +48,7 @@
 	case s.Count < 1 || s.Count > MaxTasks:
 		return invalidSteps("each step needs 1 to 65536 tasks")
 	case !s.Need.InRange():
-		return invalidSteps("the resources of a task must be at least 0 and at most 2^32")
+		return invalidSteps("the resources of a task must be at least 0 and at most 2^30")
 	case !inRange(s.EstimateMs, maxEstimateMs) || !inRange(s.TargetMs, maxEstimateMs):
 		return invalidSteps("the estimated time and the latency target of a task must be at least 0 and below two years")
 	case !inRange(int64(s.Spread), maxLimit) || !inRange(int64(s.MaxUnavailable), maxLimit):
--- a/request/resources/resources.go
+++ b/request/resources/resources.go
@@ -10,8 +10,8 @@
 }
 
 // MaxAmount is the largest amount of each kind in a request, a configuration or an
-// announcement; far larger than a machine, and sums of many of them do not overflow.
-const MaxAmount = 1 << 32
+// announcement: a million processors or a petabyte, and sums of many of them do not overflow.
+const MaxAmount = 1 << 30
 
 // InRange reports whether every dimension is at least 0 and at most MaxAmount.
 func (r Resources) InRange() bool {
--- a/version/profile/profile.go
+++ b/version/profile/profile.go
@@ -82,7 +82,7 @@
 	case p.DeadlineMs < 1 || p.DeadlineMs > MaxDeadlineMs:
 		return outcome.Field(outcome.InvalidField, "deadline_ms", fmt.Sprintf("1 to %d", MaxDeadlineMs))
 	case !p.Resources.InRange():
-		return outcome.Field(outcome.InvalidField, "resources", "no amount may be negative or above 2^32")
+		return outcome.Field(outcome.InvalidField, "resources", "no amount may be negative or above 2^30")
 	case p.Kind != job.Check && (p.Resources.MilliCPU == 0 || p.Resources.MemoryMB == 0):
 		return outcome.Field(outcome.InvalidField, "resources", "a task needs milli_cpu and memory_mb")
 	case p.Weight > MaxWeight:
@@ -111,7 +111,7 @@
 	case !namePattern.MatchString(t.Name):
 		return outcome.Field(outcome.InvalidField, "name", "1 to 63 of a-z, 0-9 and -")
 	case !t.Quota.InRange():
-		return outcome.Field(outcome.InvalidField, "quota", "no amount may be negative or above 2^32")
+		return outcome.Field(outcome.InvalidField, "quota", "no amount may be negative or above 2^30")
 	case t.Weight > MaxWeight:
 		return outcome.Field(outcome.InvalidField, "weight", fmt.Sprintf("0 to %d", MaxWeight))
 	}
