process/schedule: an ended job in the future keeps no other records

RemoveExpired stops at the first ended job that is still retained, and restored jobs are ordered by their end. One record of another writer with an end in the far future was therefore followed by all jobs that ended later, and none of their records was removed from the store again. An end after now counts as now. process/schedule: validation of restored records only.

--- a/process/schedule/jobs.go
+++ b/process/schedule/jobs.go
@@ -57,8 +57,12 @@
 func (t *Table) RestoreEnded(jobs []EndedJob) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.cfg.Clock.Now()
 	slices.SortFunc(jobs, func(a, b EndedJob) int { return cmp.Compare(a.EndedMs, b.EndedMs) })
 	for _, e := range jobs {
+		// RemoveExpired stops at the first job that is kept, so an end in the future, by another
+		// clock or of another writer, must not keep those that end later.
+		e.EndedMs = min(e.EndedMs, now.UnixMilli())
 		if _, known := t.jobs[e.ID]; known {
 			continue
 		}
@@ -68,7 +72,7 @@
 		}
 		t.jobs[e.ID] = j
 		t.endedJobs = append(t.endedJobs, j)
-		if recent(t.cfg.Clock.Now(), e.EndedMs) {
+		if recent(now, e.EndedMs) {
 			t.cfg.Log.Emit(event.JobFinished, "job", e.ID, "state", e.State, "source", "record")
 		}
 	}
