term: a smaller gap after an unreadable record

The gap of 2^20 terms that Read adds exceeds the 2^18 terms by which the numbers of a job's runs rise (schedule.addJob): for jobs accepted before it, all later leaders would have begun at the same run number, and a worker refuses or confuses runs whose numbers repeat. The gap is 2^10 now, and 2^17 in all if the heartbeat cannot be decoded either.

TestOddValuesDoNotEndLeadership, with the bound added, on the code before: record_of_text: "1048582" is not less than "262144"

--- a/process/term/read_test.go
+++ b/process/term/read_test.go
@@ -76,6 +76,7 @@
 			next, err := Claim(t.Context(), store, e.View(), self)
 			require.NoError(t, err)
 			require.Greater(t, next.Term, uint64(5))
+			require.Less(t, next.Term, uint64(1<<18), "run numbers rise with the terms, by 2^18 terms at most")
 			read, err := Read(t.Context(), store)
 			require.NoError(t, err)
 			require.True(t, read.HeldBy(self))
--- a/process/term/term.go
+++ b/process/term/term.go
@@ -59,8 +59,11 @@
 	// so higher ones come from another writer, and the numbers after them would overflow.
 	maxNumber = 1 << 48
 	// unreadableGap is added to the term of the heartbeat if the record cannot be decoded;
-	// few terms begin without a heartbeat.
-	unreadableGap = 1 << 20
+	// fewer terms begin without a heartbeat. It is small because the numbers of the runs of
+	// a job rise with the terms since its acceptance, up to 2^18 of them.
+	unreadableGap = 1 << 10
+	// unknownTerm is used if neither can be decoded.
+	unknownTerm = 1 << 17
 )
 
 // Read returns the current view of the store, or the error of the store. A heartbeat that
@@ -85,7 +88,10 @@
 			}
 		}
 	}
-	if v.Unreadable {
+	switch {
+	case v.Unreadable && v.Heartbeat.Term == 0:
+		v.Record = Record{Term: unknownTerm}
+	case v.Unreadable:
 		v.Record = Record{Term: v.Heartbeat.Term + unreadableGap}
 	}
 	return v, nil
