term: a term far above the heartbeat's is not one of ours

A well-formed record with a large term below 2^48 was followed: the leader after it begins term 2^32+1, and the run numbers of all jobs stay at their bound for all terms after that.

TestOddValuesDoNotEndLeadership/record_of_term_2^32 on the code before: Error: "" is not less than "262144"

--- a/process/term/read_test.go
+++ b/process/term/read_test.go
@@ -51,6 +51,7 @@
 		"record empty":        {nil, heartbeat},
 		"record of term 0":    {encoded(t, Record{}), heartbeat},
 		"record of term max":  {encoded(t, Record{Term: math.MaxUint64}), heartbeat},
+		"record of term 2^32": {encoded(t, Record{Term: 1 << 32}), heartbeat},
 		"heartbeat of text":   {record, []byte("odd entry")},
 		"heartbeat too large": {record, encoded(t, Heartbeat{Term: 5, Number: math.MaxUint64})},
 		"both":                {[]byte("odd entry"), []byte("odd entry")},
--- a/process/term/term.go
+++ b/process/term/term.go
@@ -79,7 +79,7 @@
 		case Key:
 			v.Revision = kv.Revision
 			err := body.Unmarshal(kv.Value, &v.Record)
-			v.Unreadable = err != nil || v.Term == 0 || v.Term > maxNumber
+			v.Unreadable = err != nil || v.Term == 0
 		case HeartbeatKey:
 			v.HeartbeatRevision = kv.Revision
 			err := body.Unmarshal(kv.Value, &v.Heartbeat)
@@ -88,6 +88,9 @@
 			}
 		}
 	}
+	if v.Term > v.Heartbeat.Term+unknownTerm+unreadableGap {
+		v.Unreadable = true // the heartbeat of the term before is never so old
+	}
 	switch {
 	case v.Unreadable && v.Heartbeat.Term == 0:
 		v.Record = Record{Term: unknownTerm}
