--- a/process/term/term.go
+++ b/process/term/term.go
@@ -63,8 +63,11 @@
 	// so higher ones come from another writer, and the numbers after them would overflow.
 	maxNumber = 1 << 48
 	// unreadableGap is added to the term of the heartbeat if the record cannot be decoded;
-	// few terms begin without a heartbeat.
-	unreadableGap = 1 << 20
+	// fewer terms begin without a heartbeat. It is small because the numbers of the runs of
+	// a job rise with the terms since its acceptance, up to 2^18 of them.
+	unreadableGap = 1 << 10
+	// unknownTerm is used if neither can be decoded.
+	unknownTerm = 1 << 17
 )
 
 // Read returns the current view of the store, or the error of the store. A heartbeat that
@@ -80,7 +83,7 @@
 		case Key:
 			v.Revision = kv.Revision
 			err := body.Unmarshal(kv.Value, &v.Record)
-			v.Unreadable = err != nil || v.Term == 0 || v.Term > maxNumber
+			v.Unreadable = err != nil || v.Term == 0
 		case HeartbeatKey:
 			v.HeartbeatRevision = kv.Revision
 			err := body.Unmarshal(kv.Value, &v.Heartbeat)
@@ -89,7 +92,13 @@
 			}
 		}
 	}
-	if v.Unreadable {
+	if v.Term > v.Heartbeat.Term+unknownTerm+unreadableGap {
+		v.Unreadable = true // the heartbeat of the term before is never so old
+	}
+	switch {
+	case v.Unreadable && v.Heartbeat.Term == 0:
+		v.Record = Record{Term: unknownTerm}
+	case v.Unreadable:
 		v.Record = Record{Term: v.Heartbeat.Term + unreadableGap}
 	}
 	return v, nil
