process/runs: start nothing under a lease beyond the grant

A worker that restarted under its ID held a lease of 6 s (hold_max_ms) and got runs at once, while the leader's grant was 4 s at most.

A call that was made for the previous instance names the ID that the new one has too, so the new one accepts it: the poll that is sent right after a quick restart, or a call in flight that is executed late. Its lease end is a time on the old instance's clock, which is ahead by the old instance's age.

When another instance is listed, the agent raises its token. Once that instance has answered a poll with the new token, it executes no earlier call any more, and its lease ends at the latest hold_max_ms after that answer (3% more for the clocks). Runs there are not concluded before. If the description of the instance shows the ID of the previous one, starts are refused until the grant reaches that end, 2.2 s after the answer with these settings; a worker with another ID gets runs at once, as it refuses the calls in question (421). The first listing that an agent process receives counts in the same way for concluding, since its predecessor may have requested a longer lease; its starts do not wait, since the leader knows the predecessor's grant.

A start is sent only while the latest poll was answered: without an answer the worker may have restarted, and then even an old lease end is too late.

hold_max_ms comes from the platform's settings as lease.worker_max_ms; without it, lease.worker_ms counts. Workers that describe themselves in their listings have no known maximum and are handled as before.

With the change the tests of process/runs, agent and settings pass with -race.

--- a/process/agent/node.go
+++ b/process/agent/node.go
@@ -25,7 +25,7 @@
 		ID: a.cfg.Process.ID, Address: a.advertised, Location: a.location(), Clock: a.clock, Log: a.log,
 		Worker: a.deps.Worker, Ledger: a.ledger, Net: a.net, Pool: a.pool, Metrics: a.metrics,
 		Timing: runs.Timing{
-			ReportInterval: a.cfg.Lease.Heartbeat(), WorkerLease: a.cfg.Lease.Worker(),
+			ReportInterval: a.cfg.Lease.Heartbeat(), WorkerLease: a.cfg.Lease.Worker(), MaxWorkerLease: a.cfg.Lease.WorkerMax(),
 			ReportTimeout: a.cfg.Lease.Task() / reportsPerLease,
 			CallTimeout:   a.cfg.Limits.CallTimeout(), WorkerCallTimeout: a.cfg.Limits.CallTimeout() / 2,
 		},
--- a/process/runs/announcements.go
+++ b/process/runs/announcements.go
@@ -80,6 +80,7 @@
 	w.Reachable = n.worker.Reachable
 	if w.StartedMs != n.worker.StartedMs {
 		w.Reachable = !n.unresponsive
+		n.sharesID = n.sharesID && w.ID == n.worker.ID
 	}
 	changed = !sameWorker(&w, &n.worker)
 	n.worker, n.instance = w, w.ID
--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -129,8 +129,8 @@
 		LongRunning: r.order.LongRunning, Profile: r.order.Profile, Franchisee: r.order.Franchisee,
 	}
 	untilMs, leaseEnd := n.leaseUntil(n.cfg.Clock.Now())
-	if untilMs == 0 || n.unresponsive && leaseEnd.After(n.lease.end()) {
-		return req, nil, true // the lease of an unresponsive worker is not extended, as in holdRequest
+	if untilMs == 0 || n.unresponsive {
+		return req, nil, true // an unresponsive worker may have restarted, with another clock
 	}
 	req.LeaseUntilMs = untilMs
 	r.startInFlight = true
--- a/process/runs/fake_test.go
+++ b/process/runs/fake_test.go
@@ -246,6 +246,13 @@
 	return ok
 }
 
+// count returns the number of runs that have been started.
+func (w *fakeWorker) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.highestRun)
+}
+
 // setOutcome sets the outcome of calls by name: hold, start, stop or pace.
 func (w *fakeWorker) setOutcome(f func(call string) callOutcome) {
 	w.mu.Lock()
--- a/process/runs/instances_test.go
+++ b/process/runs/instances_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"camphorhead.example/camphorhead/process/platform"
 )
 
 // testMaxLease is the longest lease that the fake worker grants.
@@ -16,6 +18,7 @@
 	t.Helper()
 	r := newRig(t)
 	r.worker.maxLease = testMaxLease
+	r.node.cfg.Timing.MaxWorkerLease = testMaxLease
 	r.clock.Advance(6 * time.Minute)
 	r.node.extendGrant(r.clock.Now().Add(testGrant))
 	require.True(t, r.poll(r.node))
@@ -83,3 +86,45 @@
 	r.poll(r.node)
 	r.requireLeaseWithinGrant("next worker")
 }
+
+// Guards against runs that outlive the leader's grant at a worker that restarted under its ID
+// unnoticed, so that it received a lease by the clock of the previous instance.
+func TestNoStartsUnderALeaseBeyondTheGrant(t *testing.T) {
+	r := newOldWorkerRig(t)
+	r.worker.restart()
+	r.poll(r.node)
+	r.announce(r.node, testCapacity, 1)
+	restarted, number := r.clock.Now(), uint32(0)
+	for r.worker.count() == 0 {
+		require.Less(t, r.clock.Since(restarted), testMaxLease, "the restarted worker gets no runs")
+		r.clock.Advance(100 * time.Millisecond)
+		r.node.extendGrant(r.clock.Now().Add(testGrant))
+		r.poll(r.node)
+		number++
+		k := runKey("j", number)
+		r.orderStarts(r.node, k)
+		r.eventually("the start is resolved", func() bool { return r.node.isConfirmed(k) || !r.node.hasRun(k) })
+	}
+	r.requireLeaseWithinGrant("restarted worker")
+}
+
+// Guards against runs that are reported as ended while they run at a restarted worker under a
+// lease by the clock of the previous instance, which executed a late copy of their start.
+func TestRunsOfRestartedWorkerAreConcludedAfterTheLongestLease(t *testing.T) {
+	r := newOldWorkerRig(t)
+	k := runKey("j", 1)
+	r.worker.restart()
+	r.worker.mu.Lock()
+	r.worker.running[k] = platform.RunningTask{RunKey: k}
+	r.worker.mu.Unlock()
+	r.poll(r.node)
+	r.worker.setOutcome(always(unreachable))
+	began := r.clock.Now()
+	for r.node.hasRun(k) {
+		require.Less(t, r.clock.Since(began), 2*testMaxLease, "the runs of an unreachable worker never end")
+		r.clock.Advance(100 * time.Millisecond)
+		r.poll(r.node)
+		r.node.concludeExpired(r.clock.Now())
+	}
+	require.False(t, r.worker.has(k), "reported as ended while it is running")
+}
--- a/process/runs/lease.go
+++ b/process/runs/lease.go
@@ -9,6 +9,9 @@
 type workerLease struct {
 	returned time.Time // latest end that a call which has returned had requested; zero: none
 	inFlight map[*leaseRequest]struct{}
+	// unknownUntil is until when the worker may hold a lease that was not requested for it by
+	// this process, but by an earlier one or for an earlier worker instance; zero: none.
+	unknownUntil time.Time
 }
 
 // leaseRequest is a poll or a start in flight.
@@ -33,8 +36,8 @@
 	}
 }
 
-// end returns the latest time at which the worker's lease may end; zero: no lease was requested.
-func (l *workerLease) end() time.Time {
+// requested returns the latest end that was requested; zero: none.
+func (l *workerLease) requested() time.Time {
 	end := l.returned
 	for q := range l.inFlight {
 		if q.end.After(end) {
@@ -43,3 +46,11 @@
 	}
 	return end
 }
+
+// end returns the latest time at which the worker's lease may end; zero: it has none.
+func (l *workerLease) end() time.Time {
+	if end := l.requested(); end.After(l.unknownUntil) {
+		return end
+	}
+	return l.unknownUntil
+}
--- a/process/runs/node.go
+++ b/process/runs/node.go
@@ -39,7 +39,10 @@
 	ReportInterval time.Duration // maximum time between two reports to the leader
 	// WorkerLease is the length to which each poll extends the worker's lease, unless the
 	// leader's grant ends earlier.
-	WorkerLease       time.Duration
+	WorkerLease time.Duration
+	// MaxWorkerLease is the longest lease that the worker grants, to which it shortens longer
+	// ones; at least WorkerLease.
+	MaxWorkerLease    time.Duration
 	ReportTimeout     time.Duration // of a report with its reply, and of each request to find the leader
 	CallTimeout       time.Duration // of connecting to the leader
 	WorkerCallTimeout time.Duration // of a call to the worker; a poll has its Wait in addition
@@ -107,7 +110,13 @@
 	token         int64     // fencing token of calls; the worker refuses lower ones than it has seen
 	grantEnd      time.Time // end of the leader's grant, by the agent's clock
 	lease         workerLease
-	unresponsive  bool // the latest poll had no response
+	pollToken     int64 // of the latest poll
+	// Calls with a token below fenceToken were made for earlier worker instances. fenced: the
+	// current one executes none of them any more, as it has answered a poll with fenceToken or
+	// a higher one. sharesID: until then it may have, since they name the same ID.
+	fenceToken       int64
+	fenced, sharesID bool
+	unresponsive     bool // the latest poll had no response
 	// listedAt is when the latest listing arrived, polledAt when its poll was sent; zero: none.
 	listedAt, polledAt time.Time
 	instanceStartMs    int64 // latest listing's worker instance: Unix time of its start, in ms; 0: none yet
--- a/process/runs/orders.go
+++ b/process/runs/orders.go
@@ -120,6 +120,8 @@
 		reason = "draining"
 	case !n.isAnnounced():
 		reason = "the worker has not announced itself"
+	case n.leaseOutlivesGrant():
+		reason = message.RefusedLease
 	case n.hasUnknownRun():
 		reason = "a run of unknown size is here"
 	default:
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -73,7 +73,8 @@
 	if n.listedAt.IsZero() {
 		req.Wait, req.Instance = 0, "" // the first listing shows the runs to take over
 	}
-	previousLeaseEnd = n.lease.end()
+	n.pollToken = n.token
+	previousLeaseEnd = n.lease.requested()
 	return req, n.lease.request(leaseEnd), previousLeaseEnd
 }
 
@@ -191,25 +192,35 @@
 		if n.instanceStartMs != 0 {
 			n.cfg.Log.Emit(event.WorkerRestarted, "worker", n.worker.ID, "tasks", len(n.runs))
 		}
-		n.instanceStartMs, n.lastRecorded, n.clock = list.StartedMs, 0, workerClock{}
-		n.unreportedChange = true
-		n.describeInstance()
+		n.replaceInstance(list)
 	} else if !previousLeaseEnd.IsZero() {
 		expired = sent.After(previousLeaseEnd) && len(n.runs)+len(n.ends) > 0
 	}
 	if expired {
 		n.voidEnds()
 	}
+	if !n.fenced {
+		longest := max(n.cfg.Timing.WorkerLease, n.cfg.Timing.MaxWorkerLease)
+		n.lease.unknownUntil = now.Add(time.Duration(float64(longest) / leaseClockFactor))
+		n.fenced = n.pollToken >= n.fenceToken
+	}
 	if list.ClockMs > 0 {
 		n.clock = workerClock{valueMs: list.ClockMs, readAt: now}
 	}
 	return expired
 }
 
-// describeInstance puts the description of a new instance in force. One that has not announced
-// itself yet gets no runs and is reported as unreachable until it has. The caller holds mu.
-func (n *Node) describeInstance() {
-	n.instance = ""
+// replaceInstance records that another worker instance has responded than before, if any, and
+// puts its description in force. One that has not announced itself yet gets no runs and is
+// reported as unreachable until it has. The caller holds mu.
+func (n *Node) replaceInstance(list *platform.Listing) {
+	if n.instanceStartMs != 0 {
+		n.token++
+		n.sharesID = list.Worker == "" // unless the description shows another ID
+	}
+	n.fenceToken, n.fenced = n.token, false
+	n.instanceStartMs, n.lastRecorded, n.clock, n.instance = list.StartedMs, 0, workerClock{}, ""
+	n.unreportedChange = true
 	if w, ok := n.announcements.of(n.instanceStartMs); ok {
 		n.putInForce(w)
 	} else if !n.isAnnounced() {
@@ -217,6 +228,14 @@
 	}
 }
 
+// leaseOutlivesGrant reports whether the worker may hold a lease beyond the leader's grant. A
+// worker that has restarted under its ID accepts a call that was made for the previous instance,
+// whose clock was ahead: the lease is then the longest that the worker grants. The caller holds
+// mu.
+func (n *Node) leaseOutlivesGrant() bool {
+	return n.sharesID && (!n.fenced || n.lease.unknownUntil.After(n.grantEnd))
+}
+
 // voidEnds marks the ends that no leader had recorded when the lease expired as
 // void: a leader that waited for the expiry may have started their tasks elsewhere.
 // The caller holds mu.
--- a/process/settings/contradiction.go
+++ b/process/settings/contradiction.go
@@ -23,6 +23,7 @@
 	{"records.checkpoint_ms", 0, 86_400_000, RoleEntry, func(s *Settings) int64 { return s.Records.CheckpointMs }},
 	{"lease.outage_ms", 100, 86_400_000, "", func(s *Settings) int64 { return s.Lease.OutageMs }},
 	{"lease.worker_ms", 100, 600_000, "", func(s *Settings) int64 { return s.Lease.WorkerMs }},
+	{"lease.worker_max_ms", 0, 600_000, "", func(s *Settings) int64 { return s.Lease.WorkerMaxMs }},
 	{"interference.max_over_ms", 500, 3_600_000, "", func(s *Settings) int64 { return s.Interference.MaxOverMs }},
 	{"limits.processor_percent", 0, 100_000, "", func(s *Settings) int64 { return s.Limits.ProcessorPercent }},
 	{"limits.memory_mb", 0, 1_000_000, "", func(s *Settings) int64 { return s.Limits.MemoryMB }},
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -139,6 +139,9 @@
 	OutageMs int64 `toml:"outage_ms"`
 	// WorkerMs is the length of the lease that an agent extends at its worker.
 	WorkerMs int64 `toml:"worker_ms"`
+	// WorkerMaxMs is the longest lease that workers grant. They shorten longer ones to it. 0, or
+	// less than WorkerMs: WorkerMs.
+	WorkerMaxMs int64 `toml:"worker_max_ms,omitempty"`
 }
 
 // Outage returns how long a leader keeps its term while the store is unavailable.
@@ -147,6 +150,9 @@
 // Worker returns the length of a worker's lease.
 func (l Lease) Worker() time.Duration { return milliseconds(l.WorkerMs) }
 
+// WorkerMax returns the longest lease that workers grant.
+func (l Lease) WorkerMax() time.Duration { return milliseconds(max(l.WorkerMs, l.WorkerMaxMs)) }
+
 // Task returns the length of a task lease.
 func (l Lease) Task() time.Duration { return milliseconds(l.TaskMs) }
 
