process/runs: notice an expired lease whichever call renews it

An end from before the worker's lease expired was reported as valid if a start, or a poll whose response was lost, had renewed the lease before the poll that listed the end. The platform does not count such an end: a leader that waited for the expiry may have started the task again, and a job would be shown as completed without it.

Whether the lease had expired was decided for each poll by the end of the lease before it, which the other call had already moved on. It takes a process that was frozen for longer than the worker's lease (3 s) and less than the grant (4 s), and an order or a lost response right after that.

The lease account now notes when a call finds the lease expired, and keeps that until the listing of a poll that was sent then or later. The end of a run whose first start was sent after the expiry stays valid.

--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -128,13 +128,16 @@
 		Ticket: r.order.Ticket, Input: n.inputs[r.order.Key.Task.Job], Need: r.order.Need,
 		LongRunning: r.order.LongRunning, Profile: r.order.Profile, Franchisee: r.order.Franchisee,
 	}
-	untilMs, leaseEnd := n.leaseUntil(n.cfg.Clock.Now())
+	now := n.cfg.Clock.Now()
+	untilMs, leaseEnd := n.leaseUntil(now)
 	if untilMs == 0 || n.unresponsive {
 		return req, nil, true // an unresponsive worker may have restarted, with another clock
 	}
 	req.LeaseUntilMs = untilMs
-	r.startInFlight = true
-	return req, n.lease.request(leaseEnd), true
+	if r.startInFlight = true; r.startSentAt.IsZero() {
+		r.startSentAt = now
+	}
+	return req, n.lease.request(now, leaseEnd), true
 }
 
 // startRefused handles a refusal that repeating the start would not change. An earlier copy that
--- a/process/runs/lease.go
+++ b/process/runs/lease.go
@@ -12,6 +12,9 @@
 	// unknownUntil is until when the worker may hold a lease that was not requested for it by
 	// this process, but by an earlier one or for an earlier worker instance; zero: none.
 	unknownUntil time.Time
+	// lapsedAt is when the latest call was made that found the lease expired; zero: none since
+	// the latest listing whose poll was sent then or later.
+	lapsedAt time.Time
 }
 
 // leaseRequest is a poll or a start in flight.
@@ -22,7 +25,10 @@
 func newWorkerLease() workerLease { return workerLease{inFlight: map[*leaseRequest]struct{}{}} }
 
 // request records a call that is about to be sent.
-func (l *workerLease) request(end time.Time) *leaseRequest {
+func (l *workerLease) request(now, end time.Time) *leaseRequest {
+	if previous := l.requested(); !previous.IsZero() && now.After(previous) {
+		l.lapsedAt = now
+	}
 	q := &leaseRequest{end: end}
 	l.inFlight[q] = struct{}{}
 	return q
--- a/process/runs/lease_test.go
+++ b/process/runs/lease_test.go
@@ -138,3 +138,33 @@
 		}
 	}
 }
+
+// Guards against counting ends from before the lease expired because a call other than the poll
+// that lists them has renewed it, and against voiding the end of a run that was started after
+// that.
+func TestEndsAreVoidWhicheverCallRenewsTheLease(t *testing.T) {
+	for _, renewal := range []string{"hold", "start"} {
+		r := newRig(t)
+		a, b, c := runKey("a", 1), runKey("b", 1), runKey("c", 1)
+		r.orderStarts(r.node, a, b)
+		r.eventually("both run", func() bool { return r.node.isConfirmed(a) && r.node.isConfirmed(b) })
+		r.node.extendGrant(r.clock.Now().Add(testGrant))
+		r.poll(r.node)
+		r.worker.finish(a, job.EndDone)
+		r.clock.Advance(testWorkerLease + 200*time.Millisecond) // the process is frozen
+		if renewal == "hold" {
+			r.worker.setOutcome(always(responseLost))
+			require.False(t, r.poll(r.node))
+			r.worker.setOutcome(always(succeeds))
+		} else {
+			r.orderStarts(r.node, c)
+			r.eventually("the run is confirmed", func() bool { return r.node.isConfirmed(c) })
+			r.worker.finish(c, job.EndDone)
+		}
+		r.poll(r.node)
+		for _, e := range fullReport(r.node).Ends {
+			require.Equal(t, e.Key == a, e.Void, "%s: %v", renewal, e.Key)
+		}
+		require.False(t, r.node.hasRun(a) || r.node.hasRun(b) || r.node.hasRun(c))
+	}
+}
--- a/process/runs/node.go
+++ b/process/runs/node.go
@@ -156,6 +156,7 @@
 	requestedPace        int // pace to set, in percent
 	// paceKnown: state.PacePct is the pace at the worker. pacing: setPace is queued or runs.
 	paceKnown, pacing bool
+	startSentAt       time.Time // when the first copy of its start was sent; zero: none was
 	startInFlight     bool
 	noResponseAt      time.Time // when a start last had no response: the worker may have executed it; zero: never
 }
@@ -166,6 +167,7 @@
 	number          uint64 // the worker's number; 0: concluded by the agent without being listed
 	instanceStartMs int64  // of the worker instance of the run
 	recorded        bool
+	startedAt       time.Time // run.startSentAt
 }
 
 // workerClock is a sample of the clock of the instance that responds to polls: valueMs at readAt
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -45,7 +45,7 @@
 
 // poll polls the worker once and reports whether it returned a listing.
 func (n *Node) poll(ctx context.Context, sent time.Time) bool {
-	req, lease, previousLeaseEnd := n.holdRequest(sent)
+	req, lease := n.holdRequest(sent)
 	bounded, cancel := context.WithTimeout(ctx, req.Wait+n.cfg.Timing.WorkerCallTimeout)
 	defer cancel()
 	list, err := n.cfg.Worker.Hold(bounded, req)
@@ -55,14 +55,13 @@
 		n.pollFailed(now, err)
 		return false
 	}
-	n.applyListing(sent, now, previousLeaseEnd, &list)
+	n.applyListing(sent, now, &list)
 	return true
 }
 
-// holdRequest builds the poll request with the longest allowed lease, and returns the end of the
-// worker's lease before it. A worker that did not respond to the previous poll gets no
-// extension, so that its runs end within a known time.
-func (n *Node) holdRequest(now time.Time) (req platform.HoldRequest, lease *leaseRequest, previousLeaseEnd time.Time) {
+// holdRequest builds the poll request with the longest allowed lease. A worker that did not
+// respond to the previous poll gets no extension, so that its runs end within a known time.
+func (n *Node) holdRequest(now time.Time) (req platform.HoldRequest, lease *leaseRequest) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var leaseEnd time.Time
@@ -74,8 +73,7 @@
 		req.Wait, req.Instance = 0, "" // the first listing shows the runs to take over
 	}
 	n.pollToken = n.token
-	previousLeaseEnd = n.lease.requested()
-	return req, n.lease.request(leaseEnd), previousLeaseEnd
+	return req, n.lease.request(now, leaseEnd)
 }
 
 // leaseUntil returns the end of the lease to request, by the worker's clock in ms and by the
@@ -120,14 +118,13 @@
 	}
 }
 
-// applyListing applies a listing to the table of runs. sent is when the poll was
-// sent, previousLeaseEnd the end of the worker's lease before it.
-func (n *Node) applyListing(sent, now, previousLeaseEnd time.Time, list *platform.Listing) {
+// applyListing applies a listing to the table of runs. sent is when the poll was sent.
+func (n *Node) applyListing(sent, now time.Time, list *platform.Listing) {
 	n.mu.Lock()
 	n.unresponsive = false
 	n.applySelfDescription(list)
 	n.usageAge = time.Duration(list.UsageAgeMs) * time.Millisecond
-	expired := n.applyInstance(sent, now, previousLeaseEnd, list)
+	expired := n.applyInstance(now, list)
 	if !n.worker.Reachable && n.isAnnounced() {
 		n.worker.Reachable, n.unreportedChange = true, true
 		n.cfg.Log.Emit(event.WorkerReachable, "worker", n.worker.ID, "silent_ms", elapsedMs(now, n.listedAt))
@@ -145,6 +142,9 @@
 		listed[e.RunKey] = true
 		n.applyEnded(now, list.StartedMs, e, expired)
 	}
+	if !sent.Before(n.lease.lapsedAt) {
+		n.lease.lapsedAt = time.Time{}
+	}
 	for key, r := range n.runs {
 		if !listed[key] && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
 			// A run that was confirmed before the poll and is neither running nor
@@ -185,16 +185,16 @@
 }
 
 // applyInstance records which worker instance responded, and its clock. It reports whether the
-// lease of the same instance had expired before the poll renewed it, with runs or pending ends
+// lease of the same instance had expired before a call renewed it, with runs or pending ends
 // under it; these ends are then void. The caller holds mu.
-func (n *Node) applyInstance(sent, now, previousLeaseEnd time.Time, list *platform.Listing) (expired bool) {
+func (n *Node) applyInstance(now time.Time, list *platform.Listing) (expired bool) {
 	if n.instanceStartMs != list.StartedMs {
 		if n.instanceStartMs != 0 {
 			n.cfg.Log.Emit(event.WorkerRestarted, "worker", n.worker.ID, "tasks", len(n.runs))
 		}
 		n.replaceInstance(list)
-	} else if !previousLeaseEnd.IsZero() {
-		expired = sent.After(previousLeaseEnd) && len(n.runs)+len(n.ends) > 0
+	} else if !n.lease.lapsedAt.IsZero() {
+		expired = len(n.runs)+len(n.ends) > 0
 	}
 	if expired {
 		n.voidEnds()
@@ -220,6 +220,7 @@
 	}
 	n.fenceToken, n.fenced = n.token, false
 	n.instanceStartMs, n.lastRecorded, n.clock, n.instance = list.StartedMs, 0, workerClock{}, ""
+	n.lease.lapsedAt = time.Time{}
 	n.unreportedChange = true
 	if w, ok := n.announcements.of(n.instanceStartMs); ok {
 		n.putInForce(w)
@@ -241,12 +242,18 @@
 // The caller holds mu.
 func (n *Node) voidEnds() {
 	for _, e := range n.ends {
-		if !e.recorded && e.instanceStartMs == n.instanceStartMs && e.How != job.EndLeaseExpired {
+		if !e.recorded && e.instanceStartMs == n.instanceStartMs && e.How != job.EndLeaseExpired && n.precedesLapse(e.startedAt) {
 			e.Void = true
 		}
 	}
 }
 
+// precedesLapse reports whether a run whose first start was sent at a time may have run before
+// the lease expired; zero: it was not started by this process. The caller holds mu.
+func (n *Node) precedesLapse(startedAt time.Time) bool {
+	return startedAt.IsZero() || startedAt.Before(n.lease.lapsedAt)
+}
+
 // applyRunning applies a listed run to the table and reports whether it was not there yet. The
 // caller holds mu.
 func (n *Node) applyRunning(now time.Time, t *platform.RunningTask) (unknown bool) {
@@ -282,8 +289,8 @@
 )
 
 // applyEnded adds a listed end, unless it is pending or recorded already, and removes its run.
-// expired: the lease had expired before the poll, which makes the end void unless the expiry
-// itself ended the run. The caller holds mu.
+// expired: the lease had expired, which makes the end void unless the expiry itself ended the run
+// or the run was started after it. The caller holds mu.
 func (n *Node) applyEnded(now time.Time, instanceStartMs int64, e *platform.EndedTask, expired bool) {
 	if e.Number <= n.lastRecorded {
 		return
@@ -294,22 +301,21 @@
 		}
 	}
 	ended := &pendingEnd{
-		RunEnd: message.RunEnd{
-			Key: e.RunKey, How: e.How, Checkpoint: e.Checkpoint, Void: expired && e.How != job.EndLeaseExpired,
-			Result: e.Result, Message: e.Message,
-		},
+		RunEnd: message.RunEnd{Key: e.RunKey, How: e.How, Checkpoint: e.Checkpoint, Result: e.Result, Message: e.Message},
 		number: e.Number, instanceStartMs: instanceStartMs,
 	}
 	if r := n.runs[e.RunKey]; r != nil {
+		ended.startedAt = r.startSentAt
 		ended.Early = e.How == job.EndFailed && r.known && now.Sub(r.startedAt) < earlyFailureAge
 		if e.How == job.EndStopped {
 			ended.Cause = r.evictionCause
 		}
 	}
+	ended.Void = expired && e.How != job.EndLeaseExpired && n.precedesLapse(ended.startedAt)
 	n.ends = append(n.ends, ended)
 	n.removeRun(e.RunKey)
 	n.unreportedChange = true
-	n.cfg.Log.Emit(event.TaskRunEnded, "task", e.Task.String(), "run", e.Run, "state", e.How.String(), "void", expired)
+	n.cfg.Log.Emit(event.TaskRunEnded, "task", e.Task.String(), "run", e.Run, "state", e.How.String(), "void", ended.Void)
 }
 
 // conclude removes a run that the worker will no longer list and adds an end for it, with its
