process/runs, platform: keep runs that a partial listing leaves out

An agent reported a run as expired that had ended otherwise, and listed its real end later; the leader could start a task again that was done.

Not seen in a deployment.

Listing.MoreEnded says that there may be more ends, and then no missing run is concluded.

With the change the tests of process/runs and platform pass with -race.

--- a/process/platform/worker.go
+++ b/process/platform/worker.go
@@ -60,6 +60,8 @@
 	Running   []RunningTask `json:"running,omitempty"`
 	// Ended lists the ends after HoldRequest.Recorded, oldest first.
 	Ended []EndedTask `json:"ended,omitempty"`
+	// MoreEnded is set if there may be more ends after those in Ended.
+	MoreEnded bool `json:"more_ended,omitempty"`
 	// UsageAgeMs is the age of RunningTask.Usage.
 	UsageAgeMs int64 `json:"usage_age_ms,omitempty"`
 }
--- a/process/runs/fake_test.go
+++ b/process/runs/fake_test.go
@@ -47,21 +47,23 @@
 type fakeWorker struct {
 	clock *clockwork.FakeClock
 
-	mu           sync.Mutex // guards the fields below
-	startedAt    time.Time
-	startedMs    int64 // the wall clock at startedAt
-	id           string
-	token        int64 // the highest seen
-	leaseEnd     time.Time
-	maxLease     time.Duration // longer leases are shortened to it; 0: none
-	running      map[job.RunKey]platform.RunningTask
-	highestRun   map[job.TaskID]uint32
-	ended        []platform.EndedTask
-	endCount     uint64
-	delayedCalls []func()                      // calls with the outcome executedLate
-	outcome      func(call string) callOutcome // runs with mu held
-	paces        map[job.RunKey]int
-	recorded     uint64 // number of the latest end that the agent reported as recorded
+	mu         sync.Mutex // guards the fields below
+	startedAt  time.Time
+	startedMs  int64 // the wall clock at startedAt
+	id         string
+	token      int64 // the highest seen
+	leaseEnd   time.Time
+	maxLease   time.Duration // longer leases are shortened to it; 0: none
+	running    map[job.RunKey]platform.RunningTask
+	highestRun map[job.TaskID]uint32
+	ended      []platform.EndedTask
+	endCount   uint64
+	// maxListedEnds is the largest number of ends in a listing; 0: any.
+	maxListedEnds int
+	delayedCalls  []func()                      // calls with the outcome executedLate
+	outcome       func(call string) callOutcome // runs with mu held
+	paces         map[job.RunKey]int
+	recorded      uint64 // number of the latest end that the agent reported as recorded
 
 	refusal   platform.Refusal
 	heldCalls chan struct{} // receives a value when a call is held
@@ -189,6 +191,9 @@
 		w.recorded = max(w.recorded, r.Recorded)
 		w.ended = slices.DeleteFunc(w.ended, func(e platform.EndedTask) bool { return e.Number <= r.Recorded })
 		list = platform.Listing{StartedMs: w.startedMs, ClockMs: w.clockMs(), Ended: slices.Clone(w.ended)}
+		if w.maxListedEnds > 0 && len(list.Ended) >= w.maxListedEnds {
+			list.Ended, list.MoreEnded = list.Ended[:w.maxListedEnds], true
+		}
 		for _, t := range w.running {
 			list.Running = append(list.Running, t)
 		}
--- a/process/runs/runs_test.go
+++ b/process/runs/runs_test.go
@@ -420,3 +420,24 @@
 	require.Equal(t, 1, strings.Count(log.String(), `"name":"run_reappeared","task":"j.0.0.0","run":1,"cause":"refused: no reason","age_ms":1000`), log.String())
 	require.Equal(t, int64(1), r.node.cfg.Metrics.Value(metrics.RunsReappeared))
 }
+
+// Guards against a run that is reported as expired although it has ended otherwise: the worker
+// lists no more than a part of its ends at once.
+func TestRunMissingFromPartOfTheEndsIsKept(t *testing.T) {
+	r := newRig(t)
+	a, b := runKey("a", 1), runKey("b", 1)
+	r.orderStarts(r.node, a, b)
+	r.eventually("both run", func() bool { return r.node.isConfirmed(a) && r.node.isConfirmed(b) })
+	r.worker.finish(a, job.EndDone)
+	r.worker.finish(b, job.EndDone)
+	r.clock.Advance(testReportInterval)
+	r.worker.maxListedEnds = 1
+	r.poll(r.node)
+	require.True(t, r.node.hasRun(b), "reported as ended by its lease")
+	require.Len(t, fullReport(r.node).Ends, 1)
+	r.node.markRecorded(1, r.node.leader.session)
+	r.poll(r.node)
+	ends := fullReport(r.node).Ends
+	require.Len(t, ends, 1)
+	require.Equal(t, message.RunEnd{Key: b, How: job.EndDone, Serial: 1}, ends[0])
+}
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -146,7 +146,7 @@
 		n.lease.lapsedAt = time.Time{}
 	}
 	for key, r := range n.runs {
-		if !listed[key] && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
+		if !list.MoreEnded && !listed[key] && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
 			// A run that was confirmed before the poll and is neither running nor
 			// among the ends has ended with an earlier worker instance.
 			n.conclude(now, r, "not listed", "")
