--- a/process/runs/node.go
+++ b/process/runs/node.go
@@ -39,7 +39,10 @@
 	ReportInterval time.Duration // maximum time between two reports to the leader
 	// WorkerLease is the length to which each poll extends the worker's lease, unless the
 	// leader's grant ends earlier.
-	WorkerLease       time.Duration
+	WorkerLease time.Duration
+	// MaxWorkerLease is the longest lease that the worker grants, to which it shortens longer
+	// ones; at least WorkerLease.
+	MaxWorkerLease    time.Duration
 	ReportTimeout     time.Duration // of a report with its reply, and of each request to find the leader
 	CallTimeout       time.Duration // of connecting to the leader
 	WorkerCallTimeout time.Duration // of a call to the worker; a poll has its Wait in addition
@@ -107,7 +110,13 @@
 	token         int64     // fencing token of calls; the worker refuses lower ones than it has seen
 	grantEnd      time.Time // end of the leader's grant, by the agent's clock
 	lease         workerLease
-	unresponsive  bool // the latest poll had no response
+	pollToken     int64 // of the latest poll
+	// Calls with a token below fenceToken were made for earlier worker instances. fenced: the
+	// current one executes none of them any more, as it has answered a poll with fenceToken or
+	// a higher one. sharesID: until then it may have, since they name the same ID.
+	fenceToken       int64
+	fenced, sharesID bool
+	unresponsive     bool // the latest poll had no response
 	// listedAt is when the latest listing arrived, polledAt when its poll was sent; zero: none.
 	listedAt, polledAt time.Time
 	instanceStartMs    int64 // latest listing's worker instance: Unix time of its start, in ms; 0: none yet
@@ -147,6 +156,7 @@
 	requestedPace        int // pace to set, in percent
 	// paceKnown: state.PacePct is the pace at the worker. pacing: setPace is queued or runs.
 	paceKnown, pacing bool
+	startSentAt       time.Time // when the first copy of its start was sent; zero: none was
 	startInFlight     bool
 	noResponseAt      time.Time // when a start last had no response: the worker may have executed it; zero: never
 }
@@ -157,6 +167,7 @@
 	number          uint64 // the worker's number; 0: concluded by the agent without being listed
 	instanceStartMs int64  // of the worker instance of the run
 	recorded        bool
+	startedAt       time.Time // run.startSentAt
 }
 
 // workerClock is a sample of the clock of the instance that responds to polls: valueMs at readAt
