process/schedule: a run that a report lists has not ended

A task was started again although its agent listed its run as running.

Cause: an agent that takes a run as expired, wrongly, finds it in the next listing of the worker and begins a new session. Its full report then has both the run and the end that it had concluded. The leader adopted the run or kept it to be stopped, then applied the end, released the run and requeued the task.

The second runs were placed at the moment at which agent-1 continued after its pause; that the agent concluded its runs there while the worker kept them is the cause of the failure itself and is not mended here. What the leader did then is mended.

The test on the code before:

--- FAIL: TestEndOfAListedRunDoesNotCount Should be empty, but was map[{j.0.0.0 2}:a]

An end of a run that the same full report lists is acknowledged and does not count. An agent removes a run from its table with its end, so a report has both only in this case.

go test -race on process/schedule passes.

--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -79,14 +79,15 @@
 		t.applyRunState(now, a, &r.Running[i], r.Full)
 	}
 	t.observeTails(now, a, r.Running)
+	listed := listedRuns(r)
 	for i := range r.Ends {
-		t.recordEnd(now, a, &r.Ends[i])
+		t.recordEnd(now, a, &r.Ends[i], listed[r.Ends[i].Key])
 	}
 	for i := range r.Refused {
 		t.applyRefusal(now, a, &r.Refused[i])
 	}
 	if r.Full {
-		t.reconcile(now, a, r)
+		t.reconcile(now, a, listed)
 		delete(t.unconfirmedAgents, a.id)
 		t.requeueRestored(now)
 	}
@@ -184,13 +185,21 @@
 // runs.
 const maxMissedReports = 3
 
-// reconcile removes the runs of an agent that its full report does not list, and
-// requeues their tasks: those runs never started there and never will.
-func (t *Table) reconcile(now time.Time, a *agentState, r *message.Report) {
+// listedRuns returns the runs that a full report lists, or nil.
+func listedRuns(r *message.Report) map[job.RunKey]bool {
+	if !r.Full {
+		return nil
+	}
 	listed := make(map[job.RunKey]bool, len(r.Running))
 	for i := range r.Running {
 		listed[r.Running[i].Key] = true
 	}
+	return listed
+}
+
+// reconcile removes the runs of an agent that its full report does not list, and
+// requeues their tasks: those runs never started there and never will.
+func (t *Table) reconcile(now time.Time, a *agentState, listed map[job.RunKey]bool) {
 	for key, run := range a.runs {
 		if listed[key] {
 			continue
--- a/process/schedule/ends.go
+++ b/process/schedule/ends.go
@@ -20,10 +20,14 @@
 	leasePause = time.Second
 )
 
-// recordEnd applies the reported end of a run and queues its acknowledgement.
-func (t *Table) recordEnd(now time.Time, a *agentState, e *message.RunEnd) {
+// recordEnd applies the reported end of a run and queues its acknowledgement. listed is set if
+// the same report lists the run: then the agent was wrong about the end, which does not count.
+func (t *Table) recordEnd(now time.Time, a *agentState, e *message.RunEnd, listed bool) {
 	var j *jobState
-	if task := t.task(e.Key.Task); task != nil {
+	switch task := t.task(e.Key.Task); {
+	case listed:
+		t.logEnd(a, e, "listed")
+	case task != nil:
 		j = task.step.job()
 		t.applyEnd(now, a, task, e)
 	}
--- a/process/schedule/restore_test.go
+++ b/process/schedule/restore_test.go
@@ -458,3 +458,23 @@
 	b.report("a", message.Report{Ends: []message.RunEnd{runEnd(first, job.EndStopped, 1)}})
 	onlyEntry(t, b.starts())
 }
+
+// Guards against a run that counts as ended although its agent lists it as running: the agent
+// had concluded the end, and the worker listed the run again (seen in TestSoak/seed-2, in which
+// an agent was paused for most of its worker's lease).
+func TestEndOfAListedRunDoesNotCount(t *testing.T) {
+	b := newTestbench(t, 1)
+	b.join("a")
+	b.join("b")
+	b.accept(definition("j", checkProfile, 1))
+	k, agent := onlyEntry(t, b.starts())
+	reply := b.report(agent, message.Report{
+		Session: 2, Full: true, Worker: workerInfo(agent), Running: []message.RunState{{Key: k, PacePct: fullPacePct}},
+		Ends: []message.RunEnd{runEnd(k, job.EndLeaseExpired, 1)},
+	})
+	require.Empty(t, b.starts())
+	require.Equal(t, uint64(1), reply.Recorded, "the agent need not keep the end")
+	b.report(agent, message.Report{Session: 2, Ends: []message.RunEnd{runEnd(k, job.EndDone, 2)}})
+	b.commit()
+	require.Equal(t, job.Done, b.state("j"))
+}
