jobstore: test that a leader recovers from writes of others

Cannot happen here: a conflict whose content is not the leader's own refreshes the revisions, and the next transaction replaces the odd value.

--- a/process/jobstore/jobstore_test.go
+++ b/process/jobstore/jobstore_test.go
@@ -105,6 +105,38 @@
 	require.Empty(t, store.items)
 }
 
+// Guards against a leader that records nothing any more, because another writer has replaced
+// or deleted a key that its transactions expect.
+func TestWriterRecoversFromWritesOfOthers(t *testing.T) {
+	for _, change := range []platform.Txn{
+		{Puts: []platform.Put{{Key: progressKey("a"), Value: []byte("odd entry")}}},
+		{Deletes: []string{progressKey("a")}},
+		{Puts: []platform.Put{{Key: jobKey("a"), Value: []byte("odd entry")}}},
+		{Deletes: []string{jobKey("a")}},
+	} {
+		store := newFakeStore()
+		w := beginTerm(store, 1)
+		stored, _, err := New(store).Create(t.Context(), definition("a"), 1)
+		require.NoError(t, err)
+		w.RecordJobRevision("a", stored.Revision)
+		write := func(state job.State) error {
+			b, err := w.Plan([]schedule.Record{{ID: "a", State: state}}, platform.Txn{})
+			require.NoError(t, err)
+			return w.Write(t.Context(), b)
+		}
+		require.NoError(t, write(job.Running))
+		_, err = store.apply(change)
+		require.NoError(t, err)
+		for _, state := range []job.State{job.Running, job.Done} {
+			if err := write(state); err != nil {
+				require.ErrorIs(t, err, platform.ErrConflict)
+				require.NoError(t, write(state), "%+v", change)
+			}
+		}
+		require.NotContains(t, store.items, progressKey("a"))
+	}
+}
+
 // Guards against writes by the leader of an earlier term.
 func TestFencedLeaderWritesNothing(t *testing.T) {
 	store := newFakeStore()
