--- a/integration/odd_entries_test.go
+++ b/integration/odd_entries_test.go
@@ -20,6 +20,7 @@
 	"camphorhead.example/camphorhead/process/term"
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/standin/caller"
+	"camphorhead.example/standin/worker"
 )
 
 // Guards against entries of another writer, in the store and among the announcements of the
@@ -57,25 +58,14 @@
 	}
 }
 
-// announceOddly sends announcements with one odd field in the name of each worker and of others.
+// announceOddly sends odd announcements in the name of each worker and of others.
 func (d *platformDeployment) announceOddly() {
-	const good = `"service":"` + service + `","state":"ready","capacity":{"cpu":64000,"mem_mb":256000}`
 	for _, h := range d.hosts {
 		for _, id := range []string{h.config.Name, "i-other"} {
-			for _, body := range []string{
-				`{` + good + `,"addr":"127.0.0.1:99999","sequence":900,"born":1}`,
-				`{` + good + `,"addr":"127.0.0.1:80","sequence":18446744073709551615,"born":1}`,
-				`{` + good + `,"addr":"127.0.0.1:80","sequence":900,"born":9223372036854775807}`,
-				`{"service":"` + service + `","addr":"127.0.0.1:80","state":"ready","sequence":900,"born":1,"capacity":{"cpu":9223372036854775807,"mem_mb":1}}`,
-				`{` + good + `,"addr":"127.0.0.1:80","sequence":900,"born":1,"x":` + string(bytes.Repeat([]byte("["), 200_000)) + `}`,
-				"\x00\xff",
-			} {
-				req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-				req.SetRequestURI("http://" + h.config.Registry + "/-/instances/" + id)
-				req.Header.SetMethod(fasthttp.MethodPut)
-				req.SetBodyString(body)
-				require.NoError(d.t, fasthttp.DoTimeout(req, resp, readyTimeout))
-				require.Equal(d.t, fasthttp.StatusBadRequest, resp.StatusCode(), "%.200s", body)
+			for _, body := range worker.OddAnnouncements(service) {
+				status, err := worker.SendAnnouncement(h.config.Registry, id, body, readyTimeout)
+				require.NoError(d.t, err)
+				require.Equal(d.t, fasthttp.StatusBadRequest, status, "%.200s", body)
 			}
 		}
 	}
