process/runs: fence polls that had no response

The end of a run could be discarded before a leader had recorded it, and a lease extended, by a poll without a response that was executed seconds later.

A poll names the number of the latest recorded end and a lease by the worker's clock, both of the worker instance that it was sent to. Unlike a start, a poll without a response did not raise the token, so the worker executed it after newer calls.

A poll that the worker may execute late now raises the token. TestPollWithoutResponseIsFenced fails without that (the worker keeps the token of the late poll). go test -race on process/runs passes.

--- a/process/runs/lease_test.go
+++ b/process/runs/lease_test.go
@@ -168,3 +168,45 @@
 		require.False(t, r.node.hasRun(a) || r.node.hasRun(b) || r.node.hasRun(c))
 	}
 }
+
+// Guards against an end that is discarded before a leader has recorded it, so that its task runs
+// again after it was done: a poll that had no response is executed late, by the next worker
+// instance, whose ends are numbered from 1 again.
+func TestLatePollDiscardsNoEndsOfTheNextInstance(t *testing.T) {
+	r := newRig(t)
+	earlier, k := runKey("a", 1), runKey("b", 1)
+	r.orderStarts(r.node, earlier)
+	r.eventually("the run is confirmed", func() bool { return r.node.isConfirmed(earlier) })
+	r.worker.finish(earlier, job.EndDone)
+	r.poll(r.node)
+	fullReport(r.node)
+	r.node.markRecorded(1, r.node.leader.session)
+	r.worker.setOutcome(always(executedLate))
+	require.False(t, r.poll(r.node))
+	r.worker.setOutcome(always(succeeds))
+	r.worker.restart()
+	r.announce(r.node, testCapacity, 1)
+	r.poll(r.node)
+	r.poll(r.node)
+	r.orderStarts(r.node, k)
+	r.eventually("the run is confirmed", func() bool { return r.node.isConfirmed(k) })
+	r.worker.finish(k, job.EndDone)
+	r.worker.runDelayedCalls()
+	r.poll(r.node)
+	report := fullReport(r.node)
+	require.Len(t, report.Ends, 1)
+	require.Equal(t, k, report.Ends[0].Key)
+	require.Equal(t, job.EndDone, report.Ends[0].How, "the end was discarded before it was listed")
+}
+
+// Guards against a poll that had no response and is executed after later ones, which would
+// discard ends and extend the lease as of then.
+func TestPollWithoutResponseIsFenced(t *testing.T) {
+	r := newRig(t)
+	late := r.node.token
+	r.worker.setOutcome(always(executedLate))
+	require.False(t, r.poll(r.node))
+	r.worker.setOutcome(always(succeeds))
+	require.True(t, r.poll(r.node))
+	require.Greater(t, r.worker.token, late)
+}
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -98,13 +98,18 @@
 	n.lease.finish(q, !errors.Is(err, platform.ErrUnavailable))
 }
 
-// pollFailed records a failed poll; any refusal is a response. Unless the token or the instance
-// was refused, a worker without a listing for half of WorkerLease is reported as unreachable.
+// pollFailed records a failed poll; any refusal is a response. If the worker may execute the poll
+// late, the token is raised so that it refuses it: a poll extends the lease and discards ends.
+// Unless the token or the instance was refused, a worker without a listing for half of
+// WorkerLease is reported as unreachable.
 func (n *Node) pollFailed(now time.Time, err error) {
 	var refusal *platform.RefusalError
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.unresponsive = !errors.As(err, &refusal)
+	if n.unresponsive && !errors.Is(err, platform.ErrUnavailable) && n.token == n.pollToken {
+		n.token++
+	}
 	switch {
 	case errors.As(err, &refusal) && refusal.Reason == platform.RefusedFenced:
 		n.token += tokenStep
