process/runs: resolve no start by a partial listing

A run that was done counted as refused, and its task was started again, when its worker had 500 ends or more that no leader had recorded: a listing has at most 500 ends, and the unanswered start was resolved by one that did not reach the run's end. closed the same gap for confirmed runs.

On the code before:

--- FAIL: TestPartialListingDoesNotResolveAStart (0.02s) Messages: given up before its end is listed

Only a listing with all ends resolves a start now.

--- a/process/runs/lease_test.go
+++ b/process/runs/lease_test.go
@@ -210,3 +210,34 @@
 	require.True(t, r.poll(r.node))
 	require.Greater(t, r.worker.token, late)
 }
+
+// Guards against a run that is reported as refused, so that its task runs again, although it is
+// done: its start had no response, and its end is not in the listing yet.
+func TestPartialListingDoesNotResolveAStart(t *testing.T) {
+	r := newRig(t)
+	a, b := runKey("a", 1), runKey("b", 1)
+	r.orderStarts(r.node, a)
+	r.eventually("the run is confirmed", func() bool { return r.node.isConfirmed(a) })
+	r.worker.finish(a, job.EndDone)
+	starts := 0
+	r.worker.setOutcome(func(call string) callOutcome {
+		if call != "start" {
+			return succeeds
+		}
+		if starts++; starts == 1 {
+			return responseLost
+		}
+		r.worker.refusal = platform.RefusedUnhealthy
+		return refuses
+	})
+	r.orderStarts(r.node, b)
+	r.eventually("the start is executed", func() bool { return r.worker.has(b) })
+	r.worker.finish(b, job.EndDone)
+	r.worker.maxListedEnds = 1
+	for range 20 {
+		r.clock.Advance(startRetryDelay)
+		r.poll(r.node)
+		time.Sleep(100 * time.Microsecond)
+	}
+	require.True(t, r.node.hasRun(b), "given up before its end is listed")
+}
--- a/process/runs/node.go
+++ b/process/runs/node.go
@@ -117,7 +117,8 @@
 	fenceToken       int64
 	fenced, sharesID bool
 	unresponsive     bool // the latest poll had no response
-	// listedAt is when the latest listing arrived, polledAt when its poll was sent; zero: none.
+	// listedAt is when the latest listing arrived, polledAt when the poll of the latest one with
+	// all ends was sent; zero: none.
 	listedAt, polledAt time.Time
 	instanceStartMs    int64 // latest listing's worker instance: Unix time of its start, in ms; 0: none yet
 	runs               map[job.RunKey]*run
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -135,7 +135,10 @@
 		n.cfg.Log.Emit(event.WorkerReachable, "worker", n.worker.ID, "silent_ms", elapsedMs(now, n.listedAt))
 	}
 	first := n.listedAt.IsZero()
-	n.listedAt, n.polledAt = now, sent
+	n.listedAt = now
+	if !list.MoreEnded {
+		n.polledAt = sent
+	}
 	listed := make(map[job.RunKey]bool, len(list.Running)+len(list.Ended))
 	unknown := false
 	for i := range list.Running {
