process/runs: fence starts from before a lease expired

A start that was on its way to the worker when the agent's process was frozen could be executed after the thaw, once a poll had renewed the lease, although the leader had started the task elsewhere when the grant was over.

The start carries an end of lease that is over by then, but a worker may judge it by its own lease, which a newer call has renewed: PROTOCOL.md says only that the start is refused as late, and that lease ends apply to all runs. Nothing else refused the start, as the poll had the same token.

A call that renews an expired lease now raises the token. The fake worker of the tests judges a start by its own lease, which is the weaker check.

With the change the tests of process/runs pass with -race. No deployment has shown this.

--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -124,7 +124,7 @@
 		return req, nil, false
 	}
 	req = platform.RunRequest{
-		RunKey: r.order.Key, Token: n.token, Instance: n.instance, Checkpoint: r.order.Checkpoint,
+		RunKey: r.order.Key, Instance: n.instance, Checkpoint: r.order.Checkpoint,
 		Ticket: r.order.Ticket, Input: n.inputs[r.order.Key.Task.Job], Need: r.order.Need,
 		LongRunning: r.order.LongRunning, Profile: r.order.Profile, Franchisee: r.order.Franchisee,
 	}
@@ -137,7 +137,9 @@
 	if r.startInFlight = true; r.startSentAt.IsZero() {
 		r.startSentAt = now
 	}
-	return req, n.lease.request(now, leaseEnd), true
+	lease = n.requestLease(now, leaseEnd)
+	req.Token = n.token
+	return req, lease, true
 }
 
 // startRefused handles a refusal that repeating the start would not change. An earlier copy that
--- a/process/runs/lease.go
+++ b/process/runs/lease.go
@@ -24,14 +24,15 @@
 
 func newWorkerLease() workerLease { return workerLease{inFlight: map[*leaseRequest]struct{}{}} }
 
-// request records a call that is about to be sent.
-func (l *workerLease) request(now, end time.Time) *leaseRequest {
-	if previous := l.requested(); !previous.IsZero() && now.After(previous) {
+// request records a call that is about to be sent, and reports whether the lease has expired.
+func (l *workerLease) request(now, end time.Time) (q *leaseRequest, expired bool) {
+	previous := l.requested()
+	if expired = !previous.IsZero() && now.After(previous); expired {
 		l.lapsedAt = now
 	}
-	q := &leaseRequest{end: end}
+	q = &leaseRequest{end: end}
 	l.inFlight[q] = struct{}{}
-	return q
+	return q, expired
 }
 
 // finish records the return of a call. received: the worker may have received it.
--- a/process/runs/lease_test.go
+++ b/process/runs/lease_test.go
@@ -168,3 +168,28 @@
 		require.False(t, r.node.hasRun(a) || r.node.hasRun(b) || r.node.hasRun(c))
 	}
 }
+
+// Guards against a start that the worker executes after the lease expired and was renewed, when
+// the leader may have started its task elsewhere.
+func TestStartFromBeforeAnExpiredLeaseIsFenced(t *testing.T) {
+	r := newRig(t)
+	k := runKey("j", 1)
+	r.poll(r.node)
+	r.worker.setOutcome(func(call string) callOutcome {
+		if call == "start" {
+			return held
+		}
+		return succeeds
+	})
+	r.orderStarts(r.node, k)
+	<-r.worker.heldCalls
+	r.clock.Advance(testGrant + time.Second) // the process is frozen
+	r.node.extendGrant(r.clock.Now().Add(testGrant))
+	r.poll(r.node)
+	r.worker.releaseCalls()
+	r.eventually("the start is resolved", func() bool {
+		r.poll(r.node)
+		return !r.node.hasRun(k)
+	})
+	require.Zero(t, r.worker.count(), "started from before the lease expired")
+}
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -65,15 +65,16 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var leaseEnd time.Time
-	req = platform.HoldRequest{Token: n.token, Wait: maxPollWait, Instance: n.instance, Recorded: n.lastRecorded}
+	req = platform.HoldRequest{Wait: maxPollWait, Instance: n.instance, Recorded: n.lastRecorded}
 	if !n.unresponsive {
 		req.LeaseUntilMs, leaseEnd = n.leaseUntil(now)
 	}
 	if n.listedAt.IsZero() {
 		req.Wait, req.Instance = 0, "" // the first listing shows the runs to take over
 	}
-	n.pollToken = n.token
-	return req, n.lease.request(now, leaseEnd)
+	lease = n.requestLease(now, leaseEnd)
+	req.Token, n.pollToken = n.token, n.token
+	return req, lease
 }
 
 // leaseUntil returns the end of the lease to request, by the worker's clock in ms and by the
@@ -91,6 +92,18 @@
 	return n.clock.valueMs + int64(float64(left.Milliseconds())*leaseClockFactor), end
 }
 
+// requestLease records a call that is about to be sent with n.token; end is that of the lease
+// that it requests, zero for none. If the call renews an expired lease, the token is raised: a
+// start from before the expiry that is still on its way must not be executed under the new
+// lease, as its task may have been started elsewhere. The caller holds mu.
+func (n *Node) requestLease(now, end time.Time) *leaseRequest {
+	q, expired := n.lease.request(now, end)
+	if expired && !end.IsZero() {
+		n.token++
+	}
+	return q
+}
+
 // finishLease records the return of a poll or start.
 func (n *Node) finishLease(q *leaseRequest, err error) {
 	n.mu.Lock()
