process/lead: take a refused connection for the end of a term only as a follower

An entry that the leader has not accepted as a follower waits until the heartbeat in the store has stalled, since the leader may confirm its term by other followers. A refused connection to the leader ended that wait, as if no process listened there. A cut may refuse connections as well (`refuse`): an added or restarted entry, or one that has just read the term, then claims the next one after its claim delay. Its claim expects the heartbeat in the store, which does not advance while the leader is cut off from the store too.

The test on the code before:

--- FAIL: TestRefusedConnectionEndsTheTermOfAFollowerOnly (1.51s) terms_test.go:379: Error: Not equal: expected: false actual : true Messages: three

A refused connection now ends the term for an entry that has followed it. The leader counts that one as a candidate and does not confirm its term without it.

Cost: a leader that is killed before any entry has followed it is replaced when its process has started again and answers that it does not lead, or, if that does not happen, after the wait for the heartbeat (8 s on the users' platform, 60 s with the defaults) instead of the claim delay.

--- a/process/lead/leader_conn.go
+++ b/process/lead/leader_conn.go
@@ -107,7 +107,9 @@
 }
 
 // connect opens a connection to the holder of the term and requests its updates. The term has
-// ended if nothing listens at the address or the process there does not lead.
+// ended if the process there does not lead. For a follower it has also ended if the connection is
+// refused: that may be the network's doing, but the leader then does not confirm its term without
+// this follower. Entries that have not followed it are not needed for that.
 func (n *Node) connect(ctx context.Context, c *leaderConn) {
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.Timing.LeaderTimeout/2)
 	defer cancel()
@@ -128,7 +130,7 @@
 		if conn != nil {
 			conn.Close()
 		}
-		if connectionRefused(err) {
+		if connectionRefused(err) && n.elector.Followed() {
 			n.elector.RecordTermEnd(now, c.term)
 		}
 	case !reply.Leading && reply.Term <= c.term:
--- a/process/lead/terms_test.go
+++ b/process/lead/terms_test.go
@@ -355,6 +355,31 @@
 	require.Less(t, clock.Since(cutAt), testTiming.Outage+testTiming.LeaderTimeout)
 }
 
+// Guards against a second leader: an entry that has not followed the leader takes a refused
+// connection for the end of the term, although a cut may refuse connections to a leader that
+// confirms its term by other followers. A follower may: the term is not confirmed without it.
+func TestRefusedConnectionEndsTheTermOfAFollowerOnly(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Now())
+	store := newMemoryStore(t)
+	leader := listen(t, newProcess(t, "one", store, clock))
+	l := claimTerm(t, leader)
+	follower := listen(t, newProcess(t, "two", store, clock))
+	follow(t, follower, l)
+	added := listen(t, newProcess(t, "three", store, clock))
+	added.executeStep(t.Context(), term.ReadStore)
+	require.NoError(t, leader.cfg.Net.Close()) // refuses connections from now on
+	for _, n := range []*Node{follower, added} {
+		clock.Advance(redialInterval)
+		require.Eventually(t, func() bool {
+			n.followLeader(clock.Now())
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return !n.leader.dialedAt.Before(clock.Now()) && !n.leader.dialing
+		}, 10*time.Second, time.Millisecond)
+		require.Equal(t, n == follower, n.elector.TermEnded(), n.cfg.Self().ID)
+	}
+}
+
 // Guards against leases that a new leader grants longer than Timing.Outage after its claim,
 // because the response, or the process, was delayed.
 func TestRightToGrantCountsFromTheClaim(t *testing.T) {
