process/platform: bound the numbers of a worker's listing

The product's own worker interface describes the worker in its listings. A capacity of 2^62 thousandths of a processor opened the ledger with room without limit, and an age of 2^63-1 ms overflows when it is converted to nanoseconds.

--- a/process/platform/http.go
+++ b/process/platform/http.go
@@ -61,8 +61,25 @@
 	var l Listing
 	ctx, cancel := context.WithTimeout(ctx, r.Wait+DefaultTimeout)
 	defer cancel()
-	err := w.call(ctx, PathHold+"?wait_ms="+strconv.FormatInt(r.Wait.Milliseconds(), 10), r, &l)
-	return l, err
+	if err := w.call(ctx, PathHold+"?wait_ms="+strconv.FormatInt(r.Wait.Milliseconds(), 10), r, &l); err != nil {
+		return Listing{}, err
+	}
+	return l, l.validate()
+}
+
+// maxTimeMs bounds the times of a listing, so that those computed from them do not overflow.
+const maxTimeMs = 1 << 43
+
+func (l *Listing) validate() error {
+	for _, ms := range [...]int64{l.StartedMs, l.ClockMs, l.UsageAgeMs} {
+		if ms < 0 || ms > maxTimeMs {
+			return errs.New("listing: a time of %d ms is out of range", ms)
+		}
+	}
+	if !l.Capacity.InRange() {
+		return errs.New("listing: capacity %+v is out of range", l.Capacity)
+	}
+	return nil
 }
 
 // Start implements Worker.
