process/schedule: count a job as waiting until a run of it is confirmed

A job left the queue when its first run was ordered. While workers leave starts without a response, that is seconds before anything begins, or never. Reports of agents also listed runs whose start had no response like confirmed ones.

A job leaves the queue when a worker has confirmed or ended a run of it. A full report marks unconfirmed runs, and other reports leave them out.

The test on the code before:

--- FAIL: TestJobWaitsUntilARunIsConfirmed (0.00s) expected: 2 actual : 0

--- a/connection/message/runs.go
+++ b/connection/message/runs.go
@@ -44,6 +44,8 @@
 	MilliCPU    int // measured CPU usage in thousandths of a processor
 	TailMs      int // tail latency of a serving task in milliseconds
 	PacePct     int // pace that the agent allows the run, in percent
+	// Unconfirmed is set while the worker has neither accepted the start nor listed the run.
+	Unconfirmed bool `msgpack:",omitempty"`
 }
 
 // RunEnd is the end of one run.
--- a/process/runs/report.go
+++ b/process/runs/report.go
@@ -38,9 +38,11 @@
 		n.refused = nil // a full report that does not name a run implies the refusal
 	}
 	for _, run := range n.runs {
-		confirmed := !run.confirmedAt.IsZero() && !run.confirmationReported
-		if r.Full || confirmed || sample && (run.order.Fills || run.order.TargetMs > 0) || progressed(&run.state, &run.reported) {
-			run.reported, run.confirmationReported = run.state, !run.confirmedAt.IsZero()
+		confirmed := !run.confirmedAt.IsZero()
+		run.state.Unconfirmed = !confirmed
+		sampled := sample && (run.order.Fills || run.order.TargetMs > 0)
+		if r.Full || confirmed && (!run.confirmationReported || sampled || progressed(&run.state, &run.reported)) {
+			run.reported, run.confirmationReported = run.state, confirmed
 			r.Running = append(r.Running, run.state)
 		}
 	}
--- a/process/schedule/ends.go
+++ b/process/schedule/ends.go
@@ -72,6 +72,9 @@
 		t.measureEnd(now, run, how)
 	}
 	j := task.step.job()
+	if how != job.EndLeaseExpired {
+		t.leaveQueue(j)
+	}
 	switch {
 	case task.phase == taskDone || j.state.Terminal():
 	case how == job.EndDone && !task.step.def.LongRunning:
--- a/process/schedule/jobs.go
+++ b/process/schedule/jobs.go
@@ -128,6 +128,7 @@
 	}
 	t.jobs[j.def.ID] = j
 	t.waiting[j.def.Profile]++
+	j.queued = true
 	t.publish(j)
 	if r.Cancelled || j.progress.Cancelled {
 		t.cancel(now, j)
@@ -246,15 +247,20 @@
 	}
 }
 
+// leaveQueue removes a job from the queue length of its profile, once.
+func (t *Table) leaveQueue(j *jobState) {
+	if j.queued {
+		j.queued = false
+		t.waiting[j.def.Profile]--
+	}
+}
+
 // finishJob sets the final state of a job and stops its runs.
 func (t *Table) finishJob(now time.Time, j *jobState, state job.State) {
 	if j.state.Terminal() {
 		return
 	}
-	if !j.started {
-		t.waiting[j.def.Profile]--
-		j.started = true
-	}
+	t.leaveQueue(j)
 	j.state, j.endedAt = state, now
 	delete(t.futureJobs, j)
 	for _, o := range j.occurrences {
--- a/process/schedule/records_test.go
+++ b/process/schedule/records_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/request/job"
 )
 
@@ -21,3 +22,25 @@
 	b.clock.Advance(2 * time.Minute)
 	require.ElementsMatch(t, []string{"old", "odd"}, b.table.RemoveExpired(b.now(), 10))
 }
+
+// Guards against a queue length that leaves out jobs of which nothing has begun: the start of
+// their first run was ordered, but the worker has not accepted it.
+func TestJobWaitsUntilARunIsConfirmed(t *testing.T) {
+	b := newTestbench(t, 1)
+	b.join("a")
+	queueLength := func() int {
+		_, waiting := b.table.Snapshot()
+		require.Len(t, waiting, 1)
+		return waiting[0].Waiting
+	}
+	b.accept(definition("j", checkProfile, 1))
+	b.accept(definition("k", checkProfile, 1))
+	require.Len(t, b.starts(), 2)
+	require.Equal(t, 2, queueLength())
+	b.report("a", message.Report{Running: []message.RunState{{Key: key("j", 0, 0, 1), PacePct: fullPacePct, Unconfirmed: true}}})
+	require.Equal(t, 2, queueLength())
+	b.report("a", message.Report{Running: []message.RunState{{Key: key("j", 0, 0, 1), PacePct: fullPacePct}}})
+	require.Equal(t, 1, queueLength())
+	b.report("a", message.Report{Ends: []message.RunEnd{runEnd(key("k", 0, 0, 1), job.EndDone, 1)}})
+	require.Zero(t, queueLength(), "a run that ended before it was reported as running")
+}
--- a/process/schedule/runs.go
+++ b/process/schedule/runs.go
@@ -31,8 +31,9 @@
 		a.pendingAdopted = append(a.pendingAdopted, run) // the agent may have no more than its key
 	}
 	run.pacePct = s.PacePct
-	if run.confirmedAt.IsZero() {
+	if run.confirmedAt.IsZero() && !s.Unconfirmed {
 		run.confirmedAt = now
+		t.leaveQueue(run.task.step.job())
 		t.cfg.Meter.Observe(metrics.StartConfirmed, now.Sub(run.orderedAt))
 		t.startTracker.unverified = append(t.startTracker.unverified, run)
 	}
@@ -117,7 +118,6 @@
 	j := task.step.job()
 	if !j.started {
 		j.started = true
-		t.waiting[j.def.Profile]--
 		t.cfg.Meter.Observe(metrics.JobStart, now.Sub(j.addedAt))
 	}
 	if j.state == job.Accepted {
--- a/process/schedule/state.go
+++ b/process/schedule/state.go
@@ -13,7 +13,10 @@
 	def      *job.Definition
 	progress *job.Progress // the durable part of the state; TakeRecords copies it
 	state    job.State     // an end may not be durable yet; see reportedState
-	started  bool          // set when the first run is ordered or adopted, and when the job ends
+	started  bool          // set when the first run is ordered or adopted
+	// queued: the job counts in Table.waiting. A run that was ordered may not have begun, so it
+	// counts until a worker has confirmed or ended a run.
+	queued bool
 	// mayHaveRuns is set if an earlier leader may have started runs of the job that are
 	// not in the table.
 	mayHaveRuns     bool
