integration: faults between agents and their workers

The catalogue now has calls executed late, lost responses, refused starts, restarted workers, faults of the link between agent and worker, and pauses that end around the lease. Workers announce themselves every 1.5 s and have clocks of their own, as the users' do.

--- a/integration/standin_test.go
+++ b/integration/standin_test.go
@@ -29,6 +29,19 @@
 	roleHost  = "host"
 )
 
+// announceInterval is that of the users' workers: for about as long, an agent may not know the
+// capacity of a restarted worker.
+const announceInterval = 1500 * time.Millisecond
+
+// restartTime is how long a restarted worker is away.
+const restartTime = 300 * time.Millisecond
+
+// The arguments that restart a worker with its capacity, or half of it.
+const (
+	fullCapacity    = "full"
+	smallerCapacity = "smaller"
+)
+
 // checkpointInterval is the time between two checkpoints of a task at a stand-in worker.
 const checkpointInterval = 100 * time.Millisecond
 
@@ -47,6 +60,11 @@
 	Slots    int
 	Seed     uint64
 	Capacity resources.Resources
+	// Need is what a task uses whose start declares nothing; ClockStartMs and ClockRate belong
+	// to the worker's clock.
+	Need         resources.Resources
+	ClockStartMs int64
+	ClockRate    float64
 }
 
 // workerHistory is the response of a host's control listener to the command worker.
@@ -116,6 +134,8 @@
 func startHost(cfg standinConfig) (map[string]commandFunc, error) {
 	w, err := worker.New(worker.Config{
 		Name: cfg.Name, Address: cfg.Worker, Capacity: cfg.Capacity, Seed: cfg.Seed, Behaviour: behaviourFromInput,
+		Need: cfg.Need, ClockStartMs: cfg.ClockStartMs, ClockRate: cfg.ClockRate, MaxLease: taskLease,
+		AnnounceInterval: announceInterval,
 	})
 	if err != nil {
 		return nil, err
@@ -135,6 +155,22 @@
 		"ping":       func(string) any { return true },
 		"worker":     func(string) any { return workerHistory{w.Records(), w.Overcommits()} },
 		"executions": func(string) any { return t.Executions() },
+		"faults": func(a string) any {
+			var f worker.CallFaults
+			if json.Unmarshal([]byte(a), &f) != nil {
+				return false
+			}
+			w.SetCallFaults(f)
+			return true
+		},
+		"restart": func(a string) any {
+			capacity := cfg.Capacity
+			if a == smallerCapacity {
+				capacity.MilliCPU, capacity.MemoryMB = capacity.MilliCPU/2, capacity.MemoryMB/2
+			}
+			w.Restart(capacity, restartTime)
+			return true
+		},
 		"kill": func(string) any {
 			t.Close()
 			w.Kill()
--- a/standin/worker/calls.go
+++ b/standin/worker/calls.go
@@ -158,7 +158,7 @@
 		behaviour.FailAfter = failAllAfter(req, behaviour, progress, w.config.FailAllAfter)
 	}
 	t := newTask(req, behaviour, progress, now, w.leaseEnd)
-	t.record.Late = ctx.Value(lateCall{}) != nil
+	t.record.Life, t.record.Late = w.life, ctx.Value(lateCall{}) != nil
 	w.addTask(t)
 	return w.clock.nowMs(), nil
 }
--- a/standin/worker/record.go
+++ b/standin/worker/record.go
@@ -25,6 +25,7 @@
 	Task           string // job.TaskID in text form
 	Incarnation    uint32 // number of the run
 	Lasts          bool   // set for a long-running task
+	Life           int    // number of restarts of the worker before it
 	Late           bool   // set if the start had no response and was executed late
 	Profile        string
 	Start, End     time.Time // by Config.Clock, which all stand-ins of a deployment share
--- a/standin/worker/wire.go
+++ b/standin/worker/wire.go
@@ -157,13 +157,14 @@
 	return w.clock.nowMs(), w.startedMs, w.capacity
 }
 
-const announceInterval = 300 * time.Millisecond
+// DefaultAnnounceInterval is the time between two announcements unless Config has another.
+const DefaultAnnounceInterval = 300 * time.Millisecond
 
 // Announce announces the worker to the registry of its agent, a host:port, every
-// announceInterval until ctx ends, in the form that the platform's workers use.
+// Config.AnnounceInterval until ctx ends, in the form that the platform's workers use.
 func (w *Worker) Announce(ctx context.Context, registry, service string) {
 	client := &fasthttp.Client{}
-	ticker := w.config.Clock.NewTicker(announceInterval)
+	ticker := w.config.Clock.NewTicker(w.config.AnnounceInterval)
 	defer ticker.Stop()
 	life := int64(0)
 	for sequence := 1; ; sequence++ {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -39,9 +39,10 @@
 	ClockStartMs int64
 	MaxLease     time.Duration // longer leases are shortened to it; 0 means no limit
 	// Need is what a task uses whose start declares nothing, as in the platform's protocol.
-	Need         resources.Resources
-	UsageLag     time.Duration // age of the usage in listings
-	FailAllAfter time.Duration // 0 means DefaultFailAllAfter
+	Need             resources.Resources
+	AnnounceInterval time.Duration // 0 means DefaultAnnounceInterval
+	UsageLag         time.Duration // age of the usage in listings
+	FailAllAfter     time.Duration // 0 means DefaultFailAllAfter
 }
 
 // Worker implements platform.Worker and serves it over HTTP, also by the platform's protocol.
@@ -110,6 +111,9 @@
 	if config.ClockRate == 0 {
 		config.ClockRate = 1
 	}
+	if config.AnnounceInterval == 0 {
+		config.AnnounceInterval = DefaultAnnounceInterval
+	}
 	if config.FailAllAfter == 0 {
 		config.FailAllAfter = DefaultFailAllAfter
 	}
