process/runs: void ends that the listing shows to precede an expired lease

A new agent process reported ends as valid that were from before the worker's lease had expired: it has no record of the lease. A leader that had waited for the expiry may have started the tasks again, and the platform does not count such ends.

The worker numbers its ends, and an expiry ends all its runs, so an end whose number is below that of one by expiry precedes it. Such ends are void now, for any process.

The test on the code before:

--- FAIL: TestEndsBeforeAnExpiryAreVoidForANewProcess (0.00s) expected: true actual : false Messages: {a.0.0.0 1}

go test -race on process/runs passes.

--- a/process/runs/lease_test.go
+++ b/process/runs/lease_test.go
@@ -266,3 +266,24 @@
 	})
 	require.Zero(t, r.worker.count(), "started from before the lease expired")
 }
+
+// Guards against ends from before the lease expired that a new agent process reports as valid: it
+// has no record of the lease, but the worker lists runs that the expiry ended after them.
+func TestEndsBeforeAnExpiryAreVoidForANewProcess(t *testing.T) {
+	r := newRig(t)
+	a, b, c := runKey("a", 1), runKey("b", 1), runKey("c", 1)
+	r.orderStarts(r.node, a, b)
+	r.eventually("both run", func() bool { return r.node.isConfirmed(a) && r.node.isConfirmed(b) })
+	r.worker.finish(a, job.EndDone)
+	r.clock.Advance(2 * testWorkerLease) // the agent is gone
+	n := r.newNode()
+	r.poll(n)
+	r.orderStarts(n, c)
+	r.eventually("the run is confirmed", func() bool { return n.isConfirmed(c) })
+	r.worker.finish(c, job.EndDone)
+	r.poll(n)
+	for _, e := range fullReport(n).Ends {
+		require.Equal(t, e.Key == a, e.Void, "%v", e.Key)
+	}
+	require.Len(t, fullReport(n).Ends, 3)
+}
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -158,10 +158,12 @@
 		listed[list.Running[i].RunKey] = true
 		unknown = n.applyRunning(now, &list.Running[i]) || unknown
 	}
+	lapsed := lastLapsed(list.Ended)
+	n.voidEndsBefore(lapsed)
 	for i := range list.Ended {
 		e := &list.Ended[i]
 		listed[e.RunKey] = true
-		n.applyEnded(now, list.StartedMs, e, expired)
+		n.applyEnded(now, list.StartedMs, e, expired, e.Number < lapsed)
 	}
 	if !sent.Before(n.lease.lapsedAt) {
 		n.lease.lapsedAt = time.Time{}
@@ -269,6 +271,26 @@
 	}
 }
 
+// lastLapsed returns the number of the latest end by the expiry of the lease; 0: there is none.
+func lastLapsed(ends []platform.EndedTask) (number uint64) {
+	for i := range ends {
+		if ends[i].How == job.EndLeaseExpired {
+			number = max(number, ends[i].Number)
+		}
+	}
+	return number
+}
+
+// voidEndsBefore marks the ends as void that no leader had recorded and whose numbers are below
+// that of an end by the expiry of the lease. The caller holds mu.
+func (n *Node) voidEndsBefore(number uint64) {
+	for _, e := range n.ends {
+		if !e.recorded && e.instanceStartMs == n.instanceStartMs && e.number < number && e.How != job.EndLeaseExpired {
+			e.Void = true
+		}
+	}
+}
+
 // precedesLapse reports whether a run whose first start was sent at a time may have run before
 // the lease expired; zero: it was not started by this process. The caller holds mu.
 func (n *Node) precedesLapse(startedAt time.Time) bool {
@@ -311,8 +333,9 @@
 
 // applyEnded adds a listed end, unless it is pending or recorded already, and removes its run.
 // expired: the lease had expired, which makes the end void unless the expiry itself ended the run
-// or the run was started after it. The caller holds mu.
-func (n *Node) applyEnded(now time.Time, instanceStartMs int64, e *platform.EndedTask, expired bool) {
+// or the run was started after it. precedes: the listing shows that the end precedes an expiry,
+// of which this process may have no record. The caller holds mu.
+func (n *Node) applyEnded(now time.Time, instanceStartMs int64, e *platform.EndedTask, expired, precedes bool) {
 	if e.Number <= n.lastRecorded {
 		return
 	}
@@ -332,7 +355,7 @@
 			ended.Cause = r.evictionCause
 		}
 	}
-	ended.Void = expired && e.How != job.EndLeaseExpired && n.precedesLapse(ended.startedAt)
+	ended.Void = e.How != job.EndLeaseExpired && (precedes || expired && n.precedesLapse(ended.startedAt))
 	n.ends = append(n.ends, ended)
 	n.removeRun(e.RunKey)
 	n.unreportedChange = true
