process/schedule: record which runs count as ended by their lease

The agent's new process listed the end as valid, and the new leader had no record that the run had expired.

Progress now names, for each task, the highest run that counts as ended because its lease expired, whether an agent reported that or its session expired. It is written with the next transaction. The next leader ignores other ends of these runs, as the present one does.

The test on the code before:

--- FAIL: TestExpiredRunsAreKnownToTheNextLeader (0.00s) records_test.go:65: "[]" should have 1 item(s), but has 0

Not covered: a leader that ends before the transaction, and runs that a new leader takes as expired without having learned of them.

--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -219,7 +219,7 @@
 	t.cfg.Meter.Add(metrics.LeasesExpired, 1)
 	for _, run := range a.runs {
 		t.measureEnd(now, run, job.EndLeaseExpired)
-		run.task.lastExpiredRun = max(run.task.lastExpiredRun, run.number)
+		t.recordExpiry(run.task, run.number)
 		t.release(run)
 		if !run.orphaned {
 			if !run.confirmedAt.IsZero() {
--- a/process/schedule/ends.go
+++ b/process/schedule/ends.go
@@ -87,6 +87,9 @@
 	case how == job.EndFailed:
 		t.handleTaskFailure(now, a, task, e.Key.Run)
 	default:
+		if how == job.EndLeaseExpired {
+			t.recordExpiry(task, e.Key.Run)
+		}
 		t.recordEviction(now, task, e.Key.Run, causeOf(run, e))
 		if e.Cause == job.CauseInterference || e.Cause == job.CauseMemory {
 			task.avoidAgent(a.id)
@@ -95,6 +98,16 @@
 	}
 }
 
+// recordExpiry records that a run counts as ended because its lease expired, so that another end
+// of it does not count. The next leader knows that too once the record is durable.
+func (t *Table) recordExpiry(task *taskState, run uint32) {
+	task.lastExpiredRun = max(task.lastExpiredRun, run)
+	j := task.step.job()
+	if task.phase != taskDone && !j.state.Terminal() && j.progress.SetExpired(task.id(), run) {
+		t.markDirty(j)
+	}
+}
+
 // hasLaterRun reports whether the task has had a run with a higher number, which a leader
 // ordered only when the numbered run was known to have ended. It is false for speculative
 // tasks, whose runs may overlap.
--- a/process/schedule/jobs.go
+++ b/process/schedule/jobs.go
@@ -192,6 +192,7 @@
 			if saved := j.progress.Task; saved != nil {
 				task.checkpoint, task.avoidedAgents = saved.Checkpoint, slices.Clone(saved.FailedOn)
 			}
+			task.lastExpiredRun = j.progress.ExpiredRunOf(task.id())
 			if j.progress.IsDone(j.def, task.id()) {
 				task.phase = taskDone
 				s.tasksLeft--
--- a/process/schedule/records_test.go
+++ b/process/schedule/records_test.go
@@ -44,3 +44,33 @@
 	b.report("a", message.Report{Ends: []message.RunEnd{runEnd(key("k", 0, 0, 1), job.EndDone, 1)}})
 	require.Zero(t, queueLength(), "a run that ended before it was reported as running")
 }
+
+// Guards against a task that is done by a run which counts as ended because its lease expired: the
+// next leader has no other record of that, and the agent's next process reports the run as done.
+func TestExpiredRunsAreKnownToTheNextLeader(t *testing.T) {
+	for _, sessionExpires := range []bool{true, false} {
+		b := newTestbench(t, 1)
+		b.join("a")
+		def := definition("j", checkProfile, 1)
+		b.accept(def)
+		k, _ := onlyEntry(t, b.starts())
+		b.report("a", message.Report{Running: []message.RunState{{Key: k, PacePct: fullPacePct}}})
+		if sessionExpires {
+			b.clock.Advance(2 * testLease)
+			b.tick()
+		} else {
+			b.report("a", message.Report{Ends: []message.RunEnd{runEnd(k, job.EndLeaseExpired, 1)}})
+		}
+		records := b.table.TakeRecords(10)
+		require.Len(t, records, 1)
+
+		next := newTestbench(t, 2)
+		next.table.Restore(next.now(), []Restored{{Definition: def, Progress: &records[0].Progress, Term: 1}}, map[string]time.Time{"a": next.now().Add(time.Minute)})
+		next.report("a", message.Report{
+			Session: 2, Full: true, Worker: workerInfo("a"), Ends: []message.RunEnd{runEnd(k, job.EndDone, 1)},
+		})
+		next.register()
+		again, _ := onlyEntry(t, next.starts())
+		require.Greater(t, again.Run, k.Run)
+	}
+}
--- a/request/job/progress.go
+++ b/request/job/progress.go
@@ -10,6 +10,8 @@
 	Done [][]byte `msgpack:"d,omitempty"`
 	// Failed lists the tasks with failed runs.
 	Failed []TaskFailures `msgpack:"f,omitempty"`
+	// Expired lists the tasks with a run that counts as ended because its lease expired.
+	Expired []ExpiredRun `msgpack:"x,omitempty"`
 	// Cancelled is set once the leader has processed the cancellation of the job.
 	Cancelled bool `msgpack:"c,omitempty"`
 	// Task is the progress of the one task of a job with a Request, else nil.
@@ -34,6 +36,20 @@
 	Runs       []uint32 `msgpack:"r"`
 }
 
+// ExpiredRun is the highest number of a run of one task that counts as ended because its lease
+// expired. Another end of that run or of an earlier one does not count, whichever leader it is
+// reported to.
+type ExpiredRun struct {
+	Occurrence int    `msgpack:"o,omitempty"`
+	Step       int    `msgpack:"s,omitempty"`
+	Index      int    `msgpack:"i,omitempty"`
+	Run        uint32 `msgpack:"r"`
+}
+
+func (e *ExpiredRun) isOf(t TaskID) bool {
+	return e.Occurrence == t.Occurrence && e.Step == t.Step && e.Index == t.Index
+}
+
 // NewProgress returns the progress of a job without any task done.
 func NewProgress(d *Definition) *Progress {
 	p := &Progress{Done: make([][]byte, 0, d.OccurrenceCount()*len(d.Steps))}
@@ -96,9 +112,33 @@
 	return 0
 }
 
+// SetExpired records that a run counts as ended because its lease expired; it reports false if
+// that or a later run of the task was recorded before.
+func (p *Progress) SetExpired(t TaskID, run uint32) bool {
+	for i := range p.Expired {
+		if e := &p.Expired[i]; e.isOf(t) {
+			changed := run > e.Run
+			e.Run = max(e.Run, run)
+			return changed
+		}
+	}
+	p.Expired = append(p.Expired, ExpiredRun{Occurrence: t.Occurrence, Step: t.Step, Index: t.Index, Run: run})
+	return true
+}
+
+// ExpiredRunOf returns the highest number of a run of a task whose lease expired; 0: none.
+func (p *Progress) ExpiredRunOf(t TaskID) uint32 {
+	for i := range p.Expired {
+		if p.Expired[i].isOf(t) {
+			return p.Expired[i].Run
+		}
+	}
+	return 0
+}
+
 // Clone returns a deep copy.
 func (p *Progress) Clone() Progress {
-	c := Progress{Cancelled: p.Cancelled, Done: make([][]byte, len(p.Done))}
+	c := Progress{Cancelled: p.Cancelled, Done: make([][]byte, len(p.Done)), Expired: slices.Clone(p.Expired)}
 	for i, bits := range p.Done {
 		c.Done[i] = append([]byte(nil), bits...)
 	}
