process/lead: test the two bounds on entries that do not follow

Two conditions of had no test that fails without them: followers confirm a term for no longer than an entry that does not follow waits (the tests' leader may grant for no longer than that anyway), and the claim of such an entry expects the heartbeat that it has read.

--- a/process/lead/terms_test.go
+++ b/process/lead/terms_test.go
@@ -355,6 +355,40 @@
 	require.Less(t, clock.Since(cutAt), testTiming.Outage+testTiming.LeaderTimeout)
 }
 
+// Guards against two runs of a task when a leader that may grant leases for longer than an entry
+// that does not follow it waits confirms its term by its followers all that time.
+func TestFollowersConfirmNoLongerThanUnknownEntriesWait(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	n := newProcess(t, "one", newMemoryStore(t), clock)
+	n.cfg.Timing.Outage = time.Minute
+	l := claimTerm(t, n)
+	l.write(t.Context())
+	clock.Advance(5 * time.Second)
+	join(t, l, "a")
+	clock.Advance(testTiming.Lease + testTiming.Lease/10)
+	l.mu.candidates["two"] = clock.Now()
+	require.True(t, l.valid())
+	require.False(t, expiresSilentAgent(l, clock.Now()), "an entry that does not follow may have begun a term")
+	l.write(t.Context())
+	require.True(t, expiresSilentAgent(l, clock.Now()))
+}
+
+// Guards against a second leader: the claim of an entry that does not follow takes effect after
+// another transaction of the leader, which may confirm its term by its followers from then on.
+func TestUnknownEntryDoesNotClaimBesideANewHeartbeat(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := newMemoryStore(t)
+	l := claimTerm(t, newProcess(t, "one", store, clock))
+	l.write(t.Context())
+	added := newProcess(t, "three", store, clock)
+	added.executeStep(t.Context(), term.ReadStore)
+	l.write(t.Context())
+	added.executeStep(t.Context(), term.ClaimTerm)
+	require.Nil(t, added.ownTerm.Load())
+	added.executeStep(t.Context(), term.ClaimTerm)
+	require.NotNil(t, added.ownTerm.Load(), "there was no transaction since the latest read")
+}
+
 // Guards against a second leader: an entry that has not followed the leader takes a refused
 // connection for the end of the term, although a cut may refuse connections to a leader that
 // confirms its term by other followers. A follower may: the term is not confirmed without it.
