process/lead: keep a candidate whose earlier process drained

A leader that the store does not serve could confirm its term without an entry that follows it and may begin the next one.

An entry that follows as draining is no candidate any more. Connections are served concurrently, and a leader that was paused handles all messages of that time at once: the message of a draining process may be handled after that of the entry's next process, which follows to stay and claims as a follower.

The test on the code before:

--- FAIL: TestLateDrainingOfAnEarlierProcessRemovesNoCandidate (0.00s) terms_test.go:366: Error: map[string]time.Time{} does not contain "two"

A candidate now has the start time of its process, and only that process removes it.

--- a/process/lead/followers.go
+++ b/process/lead/followers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
@@ -83,14 +82,18 @@
 	return list
 }
 
-// addCandidate registers an entry that may claim the next term, or removes one that is draining.
+// addCandidate registers an entry that may claim the next term, or removes one that is draining,
+// unless the message is of an earlier process of the entry and was delayed.
 func (l *leaderTerm) addCandidate(f *message.Follow) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if f.Draining {
+	c := l.mu.candidates[f.Entry.ID]
+	switch {
+	case !f.Draining:
+		c.startedMs = f.Entry.StartedMs
+		l.mu.candidates[f.Entry.ID] = c
+	case c.startedMs == f.Entry.StartedMs:
 		delete(l.mu.candidates, f.Entry.ID)
-	} else if _, known := l.mu.candidates[f.Entry.ID]; !known {
-		l.mu.candidates[f.Entry.ID] = time.Time{}
 	}
 }
 
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -64,10 +64,9 @@
 	lockrank.Mutex                       // guards the fields below
 	conns          map[string]*peer.Conn // by id of the agent
 	followers      map[*peer.Conn]*follower
-	// candidates are the entries that may claim the next term, by id, with the latest time by
-	// the clock of this process at which each is known to have followed. They stay when their
-	// connection closes. Zero: no message has shown it since the entry followed.
-	candidates     map[string]time.Time
+	// candidates are the entries that may claim the next term, by id. They stay when their
+	// connection closes.
+	candidates     map[string]candidate
 	entriesVersion uint64            // number of changes of the followers
 	entriesSent    map[string]uint64 // entriesVersion last sent to each agent, by id
 	// validUntil is when the right to grant leases expires: Timing.Outage after the start of
@@ -94,6 +93,14 @@
 	receivedAt time.Time // when its latest message arrived
 }
 
+// candidate is an entry that may claim the next term.
+type candidate struct {
+	startedMs int64 // start of its process that followed last
+	// followedAt is the latest time by the clock of this process at which the entry is known to
+	// have followed; zero: no message has shown it since the entry followed.
+	followedAt time.Time
+}
+
 // pendingBatch is a transaction that is being committed or whose outcome is uncertain.
 type pendingBatch struct {
 	batch     *jobstore.Batch
@@ -115,7 +122,7 @@
 	l.writer = jobstore.NewWriter(n.cfg.Store, jobstore.Fence{Key: term.Key, Revision: view.Revision})
 	l.mu.Mutex = lockrank.NewMutex(lockrank.RankSessions)
 	l.mu.conns, l.mu.followers = map[string]*peer.Conn{}, map[*peer.Conn]*follower{}
-	l.mu.candidates, l.mu.entriesSent = map[string]time.Time{}, map[string]uint64{}
+	l.mu.candidates, l.mu.entriesSent = map[string]candidate{}, map[string]uint64{}
 	l.mu.previous = previous
 	l.mu.heartbeatRevision = view.HeartbeatRevision
 	l.heartbeat.Store(view.Heartbeat.Number)
@@ -269,9 +276,10 @@
 		return
 	}
 	f.receivedAt = now
-	latest, isCandidate := l.mu.candidates[f.Entry.ID]
-	if at := l.begun.Add(time.Duration(stamp - 1)); isCandidate && stamp > 0 && at.After(latest) && !at.After(now) {
-		l.mu.candidates[f.Entry.ID] = at
+	c, isCandidate := l.mu.candidates[f.Entry.ID]
+	if at := l.begun.Add(time.Duration(stamp - 1)); isCandidate && stamp > 0 && at.After(c.followedAt) && !at.After(now) {
+		c.followedAt = at
+		l.mu.candidates[f.Entry.ID] = c
 	}
 }
 
@@ -281,9 +289,9 @@
 	l.mu.Lock()
 	var confirmedAt time.Time
 	first := true
-	for _, at := range l.mu.candidates {
-		if first || at.Before(confirmedAt) {
-			first, confirmedAt = false, at
+	for _, c := range l.mu.candidates {
+		if first || c.followedAt.Before(confirmedAt) {
+			first, confirmedAt = false, c.followedAt
 		}
 	}
 	// Entries that do not follow are bound by the heartbeats in the store only.
--- a/process/lead/terms_test.go
+++ b/process/lead/terms_test.go
@@ -347,7 +347,7 @@
 			follower.followLeader(clock.Now())
 			l.mu.Lock()
 			defer l.mu.Unlock()
-			return !l.mu.candidates["two"].Before(sent)
+			return !l.mu.candidates["two"].followedAt.Before(sent)
 		}, 10*time.Second, 100*time.Microsecond)
 		expired := expiresSilentAgent(l, clock.Now())
 		require.False(t, expired && added.loadedTerm() != nil, "%s after the cut", clock.Since(cutAt))
@@ -355,6 +355,19 @@
 	require.Less(t, clock.Since(cutAt), testTiming.Outage+testTiming.LeaderTimeout)
 }
 
+// Guards against a term that is confirmed without an entry which follows it: a message of the
+// entry's earlier process, which drained, is handled after one of its next process.
+func TestLateDrainingOfAnEarlierProcessRemovesNoCandidate(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := claimTerm(t, newProcess(t, "one", newMemoryStore(t), clock))
+	l.addCandidate(&message.Follow{Entry: message.EntryInfo{ID: "two", StartedMs: 1}})
+	l.addCandidate(&message.Follow{Entry: message.EntryInfo{ID: "two", StartedMs: 2}})
+	l.addCandidate(&message.Follow{Entry: message.EntryInfo{ID: "two", StartedMs: 1}, Draining: true})
+	require.Contains(t, l.mu.candidates, "two")
+	l.addCandidate(&message.Follow{Entry: message.EntryInfo{ID: "two", StartedMs: 2}, Draining: true})
+	require.NotContains(t, l.mu.candidates, "two")
+}
+
 // Guards against two runs of a task when a leader that may grant leases for longer than an entry
 // that does not follow it waits confirms its term by its followers all that time.
 func TestFollowersConfirmNoLongerThanUnknownEntriesWait(t *testing.T) {
@@ -366,7 +379,7 @@
 	clock.Advance(5 * time.Second)
 	join(t, l, "a")
 	clock.Advance(testTiming.Lease + testTiming.Lease/10)
-	l.mu.candidates["two"] = clock.Now()
+	l.mu.candidates["two"] = candidate{followedAt: clock.Now()}
 	require.True(t, l.valid())
 	require.False(t, expiresSilentAgent(l, clock.Now()), "an entry that does not follow may have begun a term")
 	l.write(t.Context())
