--- a/process/lead/followers.go
+++ b/process/lead/followers.go
@@ -82,21 +82,6 @@
 	return list
 }
 
-// addCandidate registers an entry that may claim the next term, or removes one that is draining,
-// unless the message is of an earlier process of the entry and was delayed.
-func (l *leaderTerm) addCandidate(f *message.Follow) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c := l.mu.candidates[f.Entry.ID]
-	switch {
-	case !f.Draining:
-		c.startedMs = f.Entry.StartedMs
-		l.mu.candidates[f.Entry.ID] = c
-	case c.startedMs == f.Entry.StartedMs:
-		delete(l.mu.candidates, f.Entry.ID)
-	}
-}
-
 // addFollower registers a follower and sends it the whole state. One that is draining gets
 // updates but is no candidate for the next term.
 func (l *leaderTerm) addFollower(conn *peer.Conn, f message.Follow) {
