integration: links to workers only where faults need them

With the commits before, every deployment reached its workers through a proxy in the test process. In a run of all tests at a load of 90 on 8 cores, TestLinksDegraded and TestConnectionSilent failed; the former because a poll of a worker took 2.8 s, so its lease expired. Only the soaks with faults of workers use it now.

--- a/integration/plan_test.go
+++ b/integration/plan_test.go
@@ -39,8 +39,11 @@
 		}
 		h.config.ClockStartMs, h.config.ClockRate = int64(1+i)*workerClockStartMs, workerClockRates[i%len(workerClockRates)]
 		h.config.Need = taskNeed
-		h.worker = newLink(d.t, d.proxyServer, h.config.Worker)
-		h.agent.settings.Worker.URL = "http://" + h.worker.listen
+		h.agent.settings.Worker.URL = "http://" + h.config.Worker
+		if d.workerLinks {
+			h.worker = newLink(d.t, d.proxyServer, h.config.Worker)
+			h.agent.settings.Worker.URL = "http://" + h.worker.listen
+		}
 		d.hosts = append(d.hosts, h)
 	}
 	d.planLinks()
