process/runs: void ends that a listing brings after the lease has expired

The agent's process was paused while the response of a poll was on the way. It noticed that the lease had expired only at its next call, and reported the ends in that response as valid before that.

A listing that arrives after the end of the lease now shows the expiry as well. The test on the code before:

--- FAIL: TestEndsInALateListingAreVoid (0.00s) Error: Should be true

--- a/integration/workerfault_test.go
+++ b/integration/workerfault_test.go
@@ -16,10 +16,11 @@
 //
 //   - 6001: an agent that had been restarted reported an end as valid that was from before
 //     its worker's lease had expired;
+//   - 7017: an agent that had been paused did the same;
 //   - 1010, 6007, 6011: the refusal of a repeated start was taken as the answer to its
 //     first copy, which was executed later.
 var (
-	workerSoakSeeds         = []uint64{6001}
+	workerSoakSeeds         = []uint64{6001, 7017}
 	platformWorkerSoakSeeds = []uint64{1010, 6007, 6011}
 )
 
--- a/process/runs/lease.go
+++ b/process/runs/lease.go
@@ -12,7 +12,7 @@
 	// unknownUntil is until when the worker may hold a lease that was not requested for it by
 	// this process, but by an earlier one or for an earlier worker instance; zero: none.
 	unknownUntil time.Time
-	// lapsedAt is when the latest call was made that found the lease expired; zero: none since
+	// lapsedAt is when a call or a listing last found the lease expired; zero: none has since
 	// the latest listing whose poll was sent then or later.
 	lapsedAt time.Time
 }
@@ -35,6 +35,13 @@
 	return q, expired
 }
 
+// checkExpiry notes at a listing that the lease has expired and no call has renewed it.
+func (l *workerLease) checkExpiry(now time.Time) {
+	if end := l.end(); !end.IsZero() && now.After(end) {
+		l.lapsedAt = now
+	}
+}
+
 // finish records the return of a call. received: the worker may have received it.
 func (l *workerLease) finish(q *leaseRequest, received bool) {
 	delete(l.inFlight, q)
--- a/process/runs/lease_test.go
+++ b/process/runs/lease_test.go
@@ -287,3 +287,33 @@
 	}
 	require.Len(t, fullReport(n).Ends, 3)
 }
+
+// Guards against an end that counts although the lease expired before it was reported: the process
+// was frozen while the response that lists it was on the way.
+func TestEndsInALateListingAreVoid(t *testing.T) {
+	r := newRig(t)
+	k := runKey("j", 1)
+	r.orderStarts(r.node, k)
+	r.eventually("the run is confirmed", func() bool { return r.node.isConfirmed(k) })
+	r.clock.Advance(2 * testMaxLease) // no lease of an earlier process is left
+	r.node.extendGrant(r.clock.Now().Add(testGrant))
+	r.poll(r.node)
+	r.poll(r.node)
+	again := runKey("j", 2)
+	r.orderStarts(r.node, again)
+	r.eventually("the run is confirmed", func() bool { return r.node.isConfirmed(again) })
+	r.worker.finish(again, job.EndDone)
+	r.worker.setOutcome(always(responseHeld))
+	polled := make(chan struct{})
+	go func() {
+		defer close(polled)
+		r.poll(r.node)
+	}()
+	<-r.worker.heldCalls
+	r.clock.Advance(testWorkerLease + 200*time.Millisecond)
+	r.worker.releaseCalls()
+	<-polled
+	ends := fullReport(r.node).Ends
+	require.Equal(t, again, ends[len(ends)-1].Key)
+	require.True(t, ends[len(ends)-1].Void)
+}
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -216,8 +216,9 @@
 			n.cfg.Log.Emit(event.WorkerRestarted, "worker", n.worker.ID, "tasks", len(n.runs))
 		}
 		n.replaceInstance(list)
-	} else if !n.lease.lapsedAt.IsZero() {
-		expired = len(n.runs)+len(n.ends) > 0
+	} else {
+		n.lease.checkExpiry(now)
+		expired = !n.lease.lapsedAt.IsZero() && len(n.runs)+len(n.ends) > 0
 	}
 	if expired {
 		n.voidEnds()
