process/schedule: publish the ends of jobs that a new leader reads

The leader of term 2 wrote the end in the transaction that gave the term up as isolated, and did not publish it. The same entry began term 3 and read the job as ended; entries keep the state that they know, and states that a leader reads as final were not published.

That the entries' caches were stale is inferred from the logs (job_finished in both terms, no error), which do not show the responses.

Ended jobs that are read at the begin of a term are published once. The test on the code before:

--- FAIL: TestRestoredEndsArePublished (0.00s) expected: []message.JobUpdate{{Job:"j", Profile:"check", State:"done"}} actual : []message.JobUpdate(nil)

go test -race on process/schedule, lead and entry passes.

--- a/process/schedule/jobs.go
+++ b/process/schedule/jobs.go
@@ -68,9 +68,12 @@
 		}
 		j := &jobState{
 			def: &job.Definition{ID: e.ID, Profile: e.Profile}, progress: &job.Progress{}, started: true,
-			state: e.State, published: e.State, endedAt: time.UnixMilli(e.EndedMs),
+			state: e.State, endedAt: time.UnixMilli(e.EndedMs),
 		}
 		t.jobs[e.ID] = j
+		// The previous leader may have ended before it published the state, and this entry and
+		// those that follow it already keep the earlier one.
+		t.publish(j)
 		t.endedJobs = append(t.endedJobs, j)
 		if recent(now, e.EndedMs) {
 			t.cfg.Log.Emit(event.JobFinished, "job", e.ID, "state", e.State, "source", "record")
--- a/process/schedule/records_test.go
+++ b/process/schedule/records_test.go
@@ -74,3 +74,14 @@
 		require.Greater(t, again.Run, k.Run)
 	}
 }
+
+// Guards against a job that is shown as running for good: it ended in an earlier term whose leader
+// wrote the record but did not publish the state, and the entries keep the earlier state.
+func TestRestoredEndsArePublished(t *testing.T) {
+	b := newTestbench(t, 2)
+	b.table.RestoreEnded([]EndedJob{{ID: "j", Profile: checkProfile, State: job.Done, EndedMs: b.now().UnixMilli()}})
+	jobs, _ := b.table.Updates()
+	require.Equal(t, []message.JobUpdate{{Job: "j", Profile: checkProfile, State: job.Done}}, jobs)
+	jobs, _ = b.table.Updates()
+	require.Empty(t, jobs)
+}
