process/runs: files for ends and for worker instances

The handling of listed ends and of the instance that answers polls moves to files of their own; no code changes. go test -race on process/runs passes.

--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -207,97 +207,6 @@
 	return now.Sub(at).Milliseconds()
 }
 
-// applyInstance records which worker instance responded, and its clock. It reports whether the
-// lease of the same instance had expired before a call renewed it, with runs or pending ends
-// under it; these ends are then void. The caller holds mu.
-func (n *Node) applyInstance(now time.Time, list *platform.Listing) (expired bool) {
-	if n.instanceStartMs != list.StartedMs {
-		if n.instanceStartMs != 0 {
-			n.cfg.Log.Emit(event.WorkerRestarted, "worker", n.worker.ID, "tasks", len(n.runs))
-		}
-		n.replaceInstance(list)
-	} else {
-		n.lease.checkExpiry(now)
-		expired = !n.lease.lapsedAt.IsZero() && len(n.runs)+len(n.ends) > 0
-	}
-	if expired {
-		n.voidEnds()
-	}
-	if !n.fenced {
-		longest := max(n.cfg.Timing.WorkerLease, n.cfg.Timing.MaxWorkerLease)
-		n.lease.unknownUntil = now.Add(time.Duration(float64(longest) / leaseClockFactor))
-		n.fenced = n.pollToken >= n.fenceToken
-	}
-	if list.ClockMs > 0 {
-		n.clock = workerClock{valueMs: list.ClockMs, readAt: now}
-	}
-	return expired
-}
-
-// replaceInstance records that another worker instance has responded than before, if any, and
-// puts its description in force. One that has not announced itself yet gets no runs and is
-// reported as unreachable until it has. The caller holds mu.
-func (n *Node) replaceInstance(list *platform.Listing) {
-	if n.instanceStartMs != 0 {
-		n.token++
-		n.sharesID = list.Worker == "" // unless the description shows another ID
-	}
-	n.fenceToken, n.fenced = n.token, false
-	n.instanceStartMs, n.lastRecorded, n.clock, n.instance = list.StartedMs, 0, workerClock{}, ""
-	n.lease.lapsedAt = time.Time{}
-	n.unreportedChange = true
-	if w, ok := n.announcements.of(n.instanceStartMs); ok {
-		n.putInForce(w)
-	} else if !n.isAnnounced() {
-		n.worker.Reachable = false
-	}
-}
-
-// leaseOutlivesGrant reports whether the worker may hold a lease beyond the leader's grant. A
-// worker that has restarted under its ID accepts a call that was made for the previous instance,
-// whose clock was ahead: the lease is then the longest that the worker grants. The caller holds
-// mu.
-func (n *Node) leaseOutlivesGrant() bool {
-	return n.sharesID && (!n.fenced || n.lease.unknownUntil.After(n.grantEnd))
-}
-
-// voidEnds marks the ends that no leader had recorded when the lease expired as
-// void: a leader that waited for the expiry may have started their tasks elsewhere.
-// The caller holds mu.
-func (n *Node) voidEnds() {
-	for _, e := range n.ends {
-		if !e.recorded && e.instanceStartMs == n.instanceStartMs && e.How != job.EndLeaseExpired && n.precedesLapse(e.startedAt) {
-			e.Void = true
-		}
-	}
-}
-
-// lastLapsed returns the number of the latest end by the expiry of the lease; 0: there is none.
-func lastLapsed(ends []platform.EndedTask) (number uint64) {
-	for i := range ends {
-		if ends[i].How == job.EndLeaseExpired {
-			number = max(number, ends[i].Number)
-		}
-	}
-	return number
-}
-
-// voidEndsBefore marks the ends as void that no leader had recorded and whose numbers are below
-// that of an end by the expiry of the lease. The caller holds mu.
-func (n *Node) voidEndsBefore(number uint64) {
-	for _, e := range n.ends {
-		if !e.recorded && e.instanceStartMs == n.instanceStartMs && e.number < number && e.How != job.EndLeaseExpired {
-			e.Void = true
-		}
-	}
-}
-
-// precedesLapse reports whether a run whose first start was sent at a time may have run before
-// the lease expired; zero: it was not started by this process. The caller holds mu.
-func (n *Node) precedesLapse(startedAt time.Time) bool {
-	return startedAt.IsZero() || startedAt.Before(n.lease.lapsedAt)
-}
-
 // applyRunning applies a listed run to the table and reports whether it was not there yet. The
 // caller holds mu.
 func (n *Node) applyRunning(now time.Time, t *platform.RunningTask) (unknown bool) {
@@ -332,37 +241,6 @@
 	earlyFailureAge = time.Second
 )
 
-// applyEnded adds a listed end, unless it is pending or recorded already, and removes its run.
-// expired: the lease had expired, which makes the end void unless the expiry itself ended the run
-// or the run was started after it. precedes: the listing shows that the end precedes an expiry,
-// of which this process may have no record. The caller holds mu.
-func (n *Node) applyEnded(now time.Time, instanceStartMs int64, e *platform.EndedTask, expired, precedes bool) {
-	if e.Number <= n.lastRecorded {
-		return
-	}
-	for _, known := range n.ends {
-		if known.instanceStartMs == instanceStartMs && known.number == e.Number {
-			return
-		}
-	}
-	ended := &pendingEnd{
-		RunEnd: message.RunEnd{Key: e.RunKey, How: e.How, Checkpoint: e.Checkpoint, Result: e.Result, Message: e.Message},
-		number: e.Number, instanceStartMs: instanceStartMs,
-	}
-	if r := n.runs[e.RunKey]; r != nil {
-		ended.startedAt = r.startSentAt
-		ended.Early = e.How == job.EndFailed && r.known && now.Sub(r.startedAt) < earlyFailureAge
-		if e.How == job.EndStopped {
-			ended.Cause = r.evictionCause
-		}
-	}
-	ended.Void = e.How != job.EndLeaseExpired && (precedes || expired && n.precedesLapse(ended.startedAt))
-	n.ends = append(n.ends, ended)
-	n.removeRun(e.RunKey)
-	n.unreportedChange = true
-	n.cfg.Log.Emit(event.TaskRunEnded, "task", e.Task.String(), "run", e.Run, "state", e.How.String(), "void", ended.Void)
-}
-
 // conclude removes a run that the worker will no longer list and adds an end for it, with its
 // last known checkpoint. cause is for the log. The caller holds mu.
 func (n *Node) conclude(now time.Time, r *run, cause, text string) {
