--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -248,9 +248,9 @@
 	d.verify()
 }
 
-// verify checks the runs at all workers: no start exceeded a worker's capacity, the runs of a task do not overlap, each has a
-// higher number than the one before, no second step began before the first was done, no
-// task of a cancelled job started late, and no job ran that was refused.
+// verify checks the runs at all workers: no start exceeded a worker's capacity, the runs of a
+// task do not overlap, each has a higher number than the one before, no second step began before
+// the first was done, no task of a cancelled job started late, and no job ran that was refused.
 func (d *platformDeployment) verify() {
 	runs, read, overcommits := map[string][]run{}, time.Now(), 0
 	for _, h := range d.hosts {
--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -46,8 +46,8 @@
 // ApplyReport applies a report of an agent. The reply grants a lease of Config.Lease, or
 // asks for a full report if this one is not of the agent's current session and cannot
 // begin a new one. An agent that begins one accepts no grant of an earlier term any more, so
-// it must have seen this term. A report that arrives after a later one of its session changes nothing,
-// and its reply grants no lease.
+// it must have seen this term. A report that arrives after a later one of its session changes
+// nothing, and its reply grants no lease.
 func (t *Table) ApplyReport(now time.Time, r *message.Report) message.ReportReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/process/term/elector.go
+++ b/process/term/elector.go
@@ -91,10 +91,9 @@
 	}
 }
 
-// RecordHeartbeat records that this entry, a follower, received something from the leader of a
-// term.
-// degraded is set if that leader reports that the store does not serve it. A term other than
-// the one in view is ignored.
+// RecordHeartbeat records that this entry follows the leader of a term and has received something
+// from it. degraded is set if that leader reports that the store does not serve it. A term other
+// than the one in view is ignored.
 func (e *Elector) RecordHeartbeat(now time.Time, term, heartbeat uint64, degraded bool) {
 	if term != e.view.Term {
 		return // the store or an announcement has to name the holder first
--- a/process/term/term.go
+++ b/process/term/term.go
@@ -104,12 +104,11 @@
 	return v, nil
 }
 
-// Claim begins the term that follows v, with self as its holder, and returns the view
-// after that. followed is set if self has followed the leader of v. Otherwise that leader may
-// rely on its followers alone for Timing.UnknownTimeout after each heartbeat, and the claim
-// fails if there is one after v. It returns platform.ErrConflict if another entry has begun a term since v
-// was read. After platform.ErrUncertain the term may have begun: the caller reads the
-// store again.
+// Claim begins the term that follows v, with self as its holder, and returns the view after that.
+// followed is set if self has followed the leader of v. Otherwise that leader may rely on its
+// followers alone for Timing.UnknownTimeout after each heartbeat, and the claim fails if there is
+// one after v. It returns platform.ErrConflict if another entry has begun a term since v was read.
+// After platform.ErrUncertain the term may have begun: the caller reads the store again.
 func Claim(ctx context.Context, store platform.Store, v View, self message.EntryInfo, followed bool) (View, error) {
 	next := View{Record: Record{Term: v.Term + 1, Holder: self}, Heartbeat: v.Heartbeat, HeartbeatRevision: v.HeartbeatRevision}
 	value, err := msgpack.Marshal(next.Record)
