standin/store: wake a watch that begins while the store goes down

A watch is counted before it is registered. The test waits for the count and takes the store down; if that comes before the registration, the watch is not among those that are woken and waits until its time is over.

A watch that is registered in a store that is down is woken at once. The test on the code before:

--- FAIL: TestWatchOfAStoreThatGoesDownIsWoken (0.00s) watch_test.go:19: the watch waits

go test -race on standin/store passes.

--- a/standin/store/watch.go
+++ b/standin/store/watch.go
@@ -37,13 +37,14 @@
 	return s.collectChanges(w, after)
 }
 
-// register adds a watcher, woken at once if there are later changes or after was compacted.
+// register adds a watcher, woken at once if there are later changes, after was compacted, or the
+// store has gone down since the call began.
 func (s *Store) register(prefix string, after uint64) *watcher {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := &watcher{prefix: prefix, wake: make(chan struct{})}
 	s.watchers[w] = struct{}{}
-	if after < s.compacted || len(s.changesAfter(prefix, after)) > 0 {
+	if s.down || after < s.compacted || len(s.changesAfter(prefix, after)) > 0 {
 		s.wake(w)
 	}
 	return w
