process/runs: test ends of runs that start while a poll renews the lease

With the condition in precedesLapse removed:

--- FAIL: TestEndOfARunAfterTheRenewalIsValid (0.00s) Messages: a valid end is void

--- a/process/runs/lease_test.go
+++ b/process/runs/lease_test.go
@@ -169,6 +169,41 @@
 	}
 }
 
+// Guards against a task that is run again although it is done: its run was started and ended
+// while the poll was in flight that renewed a lapsed lease, and its end counted as void.
+func TestEndOfARunAfterTheRenewalIsValid(t *testing.T) {
+	r := newRig(t)
+	a, b := runKey("a", 1), runKey("b", 1)
+	r.orderStarts(r.node, a)
+	r.eventually("the run is confirmed", func() bool { return r.node.isConfirmed(a) })
+	r.poll(r.node)
+	r.clock.Advance(testWorkerLease + 200*time.Millisecond) // the process is frozen
+	r.node.extendGrant(r.clock.Now().Add(testGrant))
+	r.worker.setOutcome(func(call string) callOutcome {
+		if call == "hold" {
+			return held
+		}
+		return succeeds
+	})
+	polled := make(chan struct{})
+	go func() {
+		defer close(polled)
+		r.poll(r.node)
+	}()
+	<-r.worker.heldCalls
+	r.orderStarts(r.node, b)
+	r.eventually("the run is confirmed", func() bool { return r.node.isConfirmed(b) })
+	r.worker.finish(b, job.EndDone)
+	r.worker.releaseCalls()
+	<-polled
+	report := fullReport(r.node)
+	require.Len(t, report.Ends, 2)
+	require.Equal(t, a, report.Ends[0].Key)
+	require.Equal(t, job.EndLeaseExpired, report.Ends[0].How)
+	require.Equal(t, b, report.Ends[1].Key)
+	require.False(t, report.Ends[1].Void, "a valid end is void")
+}
+
 // Guards against an end that is discarded before a leader has recorded it, so that its task runs
 // again after it was done: a poll that had no response is executed late, by the next worker
 // instance, whose ends are numbered from 1 again.
