review: case 2, orders that are lost when connections of agents are reset

An agent that reports before it notices the reset goes on in its session, so that no full report replaces the lost orders.

--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -308,22 +308,31 @@
 	return condition()
 }
 
-// settle waits until a small job has been done by each worker's service.
-func (d *deployment) settle() error {
-	var leader *machine
+// lead waits until an entry leads, jobs are accepted and all agents have joined.
+func (d *deployment) lead() (leader *machine, err error) {
 	if !until(20*time.Second, func() bool { leader, _ = d.leader(); return leader != nil }) {
-		return errors.New("no entry leads")
+		return nil, errors.New("no entry leads")
 	}
 	c := d.client("probe", leader)
 	if !until(20*time.Second, func() bool {
-		status, _ := c.call("POST", "00000000000000f0", `{"task_spec":"probe","steps":[{"count":1,"cpu":100,"mem_mb":10,"estimate_ms":100}]}`)
+		status, _ := c.call("POST", probeJob, `{"task_spec":"probe","steps":[{"count":1,"cpu":10,"mem_mb":10,"estimate_ms":100,"long_running":true}]}`)
 		return status == 200
 	}) {
-		return errors.New("no job is accepted")
+		return nil, errors.New("no job is accepted")
 	}
-	if !until(20*time.Second, func() bool { return c.state("00000000000000f0") == "completed" }) {
-		return errors.New("the first job is not completed")
+	if !until(20*time.Second, func() bool { return d.running(probeJob) == 1 }) {
+		return nil, errors.New("the first job does not run")
 	}
-	time.Sleep(3 * time.Second) // all agents have joined
-	return nil
+	time.Sleep(3 * time.Second) // for the other agents
+	c.call("DELETE", probeJob, "")
+	if !until(10*time.Second, func() bool { return d.running(probeJob) == 0 }) {
+		return nil, errors.New("the first job is not stopped")
+	}
+	if now, _ := d.leader(); now != leader {
+		return nil, errors.New("another entry leads now")
+	}
+	return leader, nil
 }
+
+// probeJob is the job that shows that the deployment works.
+const probeJob = "00f0000000000000"
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,6 +16,7 @@
 
 var cases = map[string]func(rec *record, root string, trouble bool) (broken bool, err error){
 	"orders":  ordersCase,
+	"resets":  resetsCase,
 	"waiting": waitingCase,
 }
 
--- a/review/harness/orders.go
+++ b/review/harness/orders.go
@@ -17,19 +17,19 @@
 // jobs that run on.
 func ordersCase(rec *record, root string, trouble bool) (broken bool, err error) {
 	d, err := newDeployment(rec, root, 6, func(task string) int {
-		if task[:4] == "00f1" {
-			return 0
+		if task[:4] == "00f2" {
+			return 300
 		}
-		return 300
+		return 0
 	})
 	if err != nil {
 		return false, err
 	}
 	defer d.close()
-	if err := d.settle(); err != nil {
+	leader, err := d.lead()
+	if err != nil {
 		return false, err
 	}
-	leader, _ := d.leader()
 	c, checks := d.client("at-leader", leader), d.client("checks", leader)
 	cutAgent := d.sides[0]
 
--- a/review/harness/proxy.go
+++ b/review/harness/proxy.go
@@ -16,8 +16,29 @@
 	target   string
 	names    []string // of the machines that may connect
 
-	mu  sync.Mutex
-	cut map[string]bool
+	mu   sync.Mutex
+	cut  map[string]bool
+	open map[*link]struct{}
+}
+
+// zoneDelay is the one-way delay between two zones of sites/lcf-sched.toml.
+const zoneDelay = 900 * time.Microsecond
+
+// reset resets the connections of a machine, as a middlebox does, and returns their number.
+func (p *proxy) reset(name string) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.open {
+		if l.get() != name {
+			continue
+		}
+		n++
+		for _, c := range l.conns {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}
+	return n
 }
 
 func newProxy(listen, target string, names []string) (*proxy, error) {
@@ -25,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, names: names, cut: map[string]bool{}}
+	p := &proxy{listener: l, target: target, names: names, cut: map[string]bool{}, open: map[*link]struct{}{}}
 	go p.accept()
 	return p, nil
 }
@@ -55,6 +76,8 @@
 
 // link is one proxied connection; name is empty until the dialer's hello has named it.
 type link struct {
+	conns []net.Conn // of the dialer, and to the entry
+
 	mu   sync.Mutex
 	name string
 }
@@ -72,7 +95,15 @@
 		client.Close()
 		return
 	}
-	l := &link{}
+	l := &link{conns: []net.Conn{client, server}}
+	p.mu.Lock()
+	p.open[l] = struct{}{}
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.open, l)
+		p.mu.Unlock()
+	}()
 	var wg sync.WaitGroup
 	wg.Add(2)
 	go func() { defer wg.Done(); p.copy(server, client, l, true) }()
@@ -114,7 +145,9 @@
 				}
 			}
 		}
-		if !p.awaitPath(l, time.Now()) {
+		read := time.Now()
+		time.Sleep(zoneDelay)
+		if !p.awaitPath(l, read) {
 			return
 		}
 		if n > 0 {
--- a/review/harness/waiting.go
+++ b/review/harness/waiting.go
@@ -16,19 +16,20 @@
 // jobs wait: on the channel that the client opened before.
 func waitingCase(rec *record, root string, trouble bool) (broken bool, err error) {
 	d, err := newDeployment(rec, root, 2, func(task string) int {
-		if task[:4] == "00f1" {
-			return 0
+		if task[:4] == "00f2" {
+			return 300
 		}
-		return 300
+		return 0
 	})
 	if err != nil {
 		return false, err
 	}
 	defer d.close()
-	if err := d.settle(); err != nil {
+	leader, err := d.lead()
+	if err != nil {
 		return false, err
 	}
-	leader, others := d.leader()
+	_, others := d.leader()
 	atLeader, atOther := d.client("at-leader", leader), d.client("at-other", others[0])
 	rec.log("leader %s; entry to be cut off %s", leader.name, others[0].name)
 
