process/lead: send the orders of a session over the connection of that session

Cause: the leader took the connection of any report for the agent's, also of a report of an earlier session that arrives late. The agent has closed that connection, so orders written to it are lost, and as its session is in order no full report resolves them.

The leader now records the connection with the session, under one lock with the table's decision and only if the table has accepted the report. Orders go out over the connection of their own session.

The test fails before:

--- FAIL: TestLateReportDoesNotRedirectOrders Error: the orders went to the connection of the earlier session

--- a/process/lead/followers.go
+++ b/process/lead/followers.go
@@ -108,26 +108,18 @@
 	return l.pollInbox(ctx) == nil
 }
 
-// applyReport applies an agent's report; orders to the agent go out over the same connection.
-// The reply grants no lease before the jobs are loaded, while this process resigns because it
-// is isolated, or when the leader's own right to grant leases has expired.
+// applyReport applies an agent's report; orders of a session go out over the connection over
+// which the table has accepted its latest report. The reply grants no lease before the jobs are
+// loaded, while this process resigns because it is isolated, or when the leader's own right to
+// grant leases has expired.
 func (l *leaderTerm) applyReport(ctx context.Context, conn *peer.Conn, r *message.Report) message.ReportReply {
 	if !l.loaded.Load() || l.resigning.Load() || !l.ensureJobs(ctx, r) {
 		return message.ReportReply{Term: l.number}
 	}
-	l.mu.Lock()
-	mayGrant := l.node.cfg.Clock.Now().Before(l.mu.validUntil)
-	sendEntries := false
-	if mayGrant {
-		l.mu.conns[r.Agent] = conn
-		sendEntries = r.Full || l.mu.entriesSent[r.Agent] != l.mu.entriesVersion
-		l.mu.entriesSent[r.Agent] = l.mu.entriesVersion
+	reply, sendEntries := l.acceptReport(conn, r)
+	if reply.LeaseMs == 0 {
+		return reply
 	}
-	l.mu.Unlock()
-	if !mayGrant {
-		return message.ReportReply{Term: l.number}
-	}
-	reply := l.table.ApplyReport(l.node.cfg.Clock.Now(), r)
 	reply.ConfigVersion = l.node.cfg.ConfigVersion()
 	if sendEntries {
 		for _, info := range l.entryList() {
@@ -137,6 +129,28 @@
 	return reply
 }
 
+// acceptReport passes a report to the table and, if the table accepts it, records its session and
+// connection. Both happen under the lock: a report of an earlier session, which may arrive late,
+// must not redirect orders to a connection that the agent has given up, and orders of a session
+// that has just begun must find its connection. sendEntries is set if the reply is to list the
+// entries.
+func (l *leaderTerm) acceptReport(conn *peer.Conn, r *message.Report) (reply message.ReportReply, sendEntries bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.node.cfg.Clock.Now()
+	if !now.Before(l.mu.validUntil) {
+		return message.ReportReply{Term: l.number}, false
+	}
+	reply = l.table.ApplyReport(now, r)
+	if reply.LeaseMs == 0 {
+		return reply, false
+	}
+	l.mu.sessions[r.Agent] = agentSession{number: r.Session, conn: conn}
+	sendEntries = r.Full || l.mu.entriesSent[r.Agent] != l.mu.entriesVersion
+	l.mu.entriesSent[r.Agent] = l.mu.entriesVersion
+	return reply, sendEntries
+}
+
 func (n *Node) notifyAgentsChanged(changed []message.Summary, removed []string, all bool) {
 	if n.cfg.OnAgentsChanged != nil && (len(changed) > 0 || len(removed) > 0 || all) {
 		n.cfg.OnAgentsChanged(changed, removed, all)
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -61,8 +61,8 @@
 // termState is the state of a term outside the table. Its mutex ranks after that of the node;
 // neither is held during a call to the store or to another process.
 type termState struct {
-	lockrank.Mutex                       // guards the fields below
-	conns          map[string]*peer.Conn // by id of the agent
+	lockrank.Mutex                         // guards the fields below
+	sessions       map[string]agentSession // by id of the agent
 	followers      map[*peer.Conn]*follower
 	// candidates are the entries that may claim the next term, by id. They stay when their
 	// connection closes.
@@ -87,6 +87,13 @@
 	previous term.View
 }
 
+// agentSession is the latest session of an agent that the table has accepted, with the
+// connection over which its reports arrive and its orders go out.
+type agentSession struct {
+	number uint64
+	conn   *peer.Conn
+}
+
 // follower is an entry that follows over one connection.
 type follower struct {
 	message.Follow
@@ -113,7 +120,7 @@
 	})
 	l.writer = jobstore.NewWriter(n.cfg.Store, jobstore.Fence{Key: term.Key, Revision: view.Revision})
 	l.mu.Mutex = lockrank.NewMutex(lockrank.RankSessions)
-	l.mu.conns, l.mu.followers = map[string]*peer.Conn{}, map[*peer.Conn]*follower{}
+	l.mu.sessions, l.mu.followers = map[string]agentSession{}, map[*peer.Conn]*follower{}
 	l.mu.candidates, l.mu.entriesSent = map[string]candidate{}, map[string]uint64{}
 	l.mu.previous = previous
 	l.mu.heartbeatRevision = view.HeartbeatRevision
@@ -311,12 +318,12 @@
 func (l *leaderTerm) sendOrders(list []schedule.AgentOrders) {
 	for _, o := range list {
 		l.mu.Lock()
-		conn := l.mu.conns[o.Agent]
+		session := l.mu.sessions[o.Agent]
 		l.mu.Unlock()
-		if conn == nil {
-			continue // the agent reconnects and sends a full report
+		if session.number != o.Orders.Session {
+			continue // the full report that began the next session has resolved the runs
 		}
-		if err := conn.Notify(message.KindOrders, &o.Orders); err != nil {
+		if err := session.conn.Notify(message.KindOrders, &o.Orders); err != nil {
 			l.node.cfg.Log.Emit(event.OrdersNotSent, "agent", o.Agent, "session", o.Orders.Session,
 				"tasks", len(o.Orders.Starts), "error", err)
 		}
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -258,8 +257,13 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	conns := slices.Collect(maps.Values(l.mu.conns))
-	return slices.DeleteFunc(conns, func(c *peer.Conn) bool { return c.Closed() })
+	conns := make([]*peer.Conn, 0, len(l.mu.sessions))
+	for _, session := range l.mu.sessions {
+		if !session.conn.Closed() {
+			conns = append(conns, session.conn)
+		}
+	}
+	return conns
 }
 
 // Load returns the summary of the table; ok is false unless this process is a ready leader.
--- /dev/null
+++ b/process/lead/sessions_test.go
@@ -0,0 +1,101 @@
+package lead
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/connection/peer"
+	"camphorhead.example/camphorhead/process/pool"
+	"camphorhead.example/camphorhead/request/job"
+	"camphorhead.example/camphorhead/request/resources"
+	"camphorhead.example/camphorhead/version/profile"
+)
+
+const testAgent = "agent"
+
+// agentLink is one connection of an agent to a leader.
+type agentLink struct {
+	conn   *peer.Conn
+	orders chan message.Orders
+}
+
+// Handle keeps the orders that arrive over the link.
+func (a *agentLink) Handle(_ context.Context, r peer.Request) {
+	var o message.Orders
+	if r.Kind == message.KindOrders && r.Decode(&o) == nil {
+		a.orders <- o
+	}
+}
+
+func (a *agentLink) Queue(peer.Request) bool { return false }
+
+func connectAgent(t *testing.T, leader *Node) *agentLink {
+	t.Helper()
+	a := &agentLink{orders: make(chan message.Orders, 16)}
+	workers := pool.New(2, 64)
+	t.Cleanup(workers.Close)
+	network := peer.New(peer.Config{
+		Listen: "127.0.0.1:0", Key: []byte("key"), Hello: func() message.Hello { return message.Hello{ID: testAgent, Role: message.RoleAgent} },
+	}, workers, a)
+	require.NoError(t, network.Start())
+	t.Cleanup(func() { require.NoError(t, network.Close()) })
+	var err error
+	a.conn, err = network.Conn(t.Context(), leader.cfg.Self().Address)
+	require.NoError(t, err)
+	return a
+}
+
+// report sends a report over the link and returns the leader's reply.
+func (a *agentLink) report(t *testing.T, session, sequence uint64, full bool) message.ReportReply {
+	t.Helper()
+	r := message.Report{Agent: testAgent, Session: session, Sequence: sequence, Full: full, Worker: &message.WorkerInfo{
+		ID: "worker", Service: "s", Reachable: true, Capacity: resources.Resources{MilliCPU: 8000, MemoryMB: 8000},
+	}}
+	var reply message.ReportReply
+	require.NoError(t, a.conn.Call(t.Context(), message.KindReport, r, &reply))
+	return reply
+}
+
+// newSchedulingLeader returns the term of a leader that may order runs at testAgent.
+func newSchedulingLeader(t *testing.T) *leaderTerm {
+	t.Helper()
+	n := listen(t, newProcess(t, "entry", newMemoryStore(t), clockwork.NewFakeClockAt(time.Now())))
+	n.cfg.Profile = func(string) (profile.Profile, bool) { return profile.Profile{Service: "s", MaxAttempts: 3}, true }
+	n.cfg.Teams = func() map[string]profile.Team { return nil }
+	l := claimTerm(t, n)
+	l.table.SetRegistered([]string{testAgent})
+	return l
+}
+
+func (l *leaderTerm) acceptJob(t *testing.T, id string) {
+	t.Helper()
+	step := job.Step{Count: 1, Need: resources.Resources{MilliCPU: 1000, MemoryMB: 1000}}
+	def := &job.Definition{ID: id, Profile: "p", Steps: []job.Step{step}}
+	require.True(t, l.table.Accept(l.node.cfg.Clock.Now(), def, l.number, false))
+	l.dispatch()
+}
+
+// Guards against orders that are written to a connection which the agent has given up: a report
+// of its earlier session may arrive over it after the next session has begun (review, case 1).
+func TestLateReportDoesNotRedirectOrders(t *testing.T) {
+	l := newSchedulingLeader(t)
+	old, current := connectAgent(t, l.node), connectAgent(t, l.node)
+	require.NotZero(t, old.report(t, 1, 1, true).LeaseMs)
+	require.NotZero(t, current.report(t, 2, 1, true).LeaseMs)
+	require.Zero(t, old.report(t, 1, 2, false).LeaseMs)
+	l.table.SetRegistered([]string{testAgent})
+	l.acceptJob(t, "j")
+	select {
+	case o := <-current.orders:
+		require.Len(t, o.Starts, 1)
+	case <-old.orders:
+		require.Fail(t, "the orders went to the connection of the earlier session")
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "no orders arrived")
+	}
+}
