process/runs, process/lead: end a session with its connection

Cause: only the full report that begins a session makes the leader place lost starts again and repeat lost stops. An agent whose connection had closed went on in the same session if a report was due before its next tick, and the orders on the closed connection were lost without a trace.

The agent now begins the next session when a report goes out over another connection, and the leader requests a full report when a session continues over another connection than the one over which it was accepted.

The tests fail before:

--- FAIL: TestSessionEndsWithItsConnection Messages: the session goes on although orders may have been lost --- FAIL: TestReplacedConnectionBeginsSession Error: "" is not greater than ""

--- a/process/lead/followers.go
+++ b/process/lead/followers.go
@@ -141,6 +141,10 @@
 	if !now.Before(l.mu.validUntil) {
 		return message.ReportReply{Term: l.number}, false
 	}
+	if s := l.mu.sessions[r.Agent]; s.number == r.Session && s.conn != conn {
+		// Orders that were written to the other connection may be lost.
+		return message.ReportReply{Term: l.number, NeedFull: true}, false
+	}
 	reply = l.table.ApplyReport(now, r)
 	if reply.LeaseMs == 0 {
 		return reply, false
--- a/process/lead/sessions_test.go
+++ b/process/lead/sessions_test.go
@@ -99,3 +99,16 @@
 		require.Fail(t, "no orders arrived")
 	}
 }
+
+// Guards against orders that are lost with a connection: the agent must begin its next session,
+// whose full report resolves them, also if it goes on in the same one (review, case 3).
+func TestSessionEndsWithItsConnection(t *testing.T) {
+	l := newSchedulingLeader(t)
+	lost, current := connectAgent(t, l.node), connectAgent(t, l.node)
+	require.NotZero(t, lost.report(t, 1, 1, true).LeaseMs)
+	reply := current.report(t, 1, 2, false)
+	require.True(t, reply.NeedFull, "the session goes on although orders may have been lost")
+	require.Zero(t, reply.LeaseMs)
+	require.NotZero(t, current.report(t, 2, 1, true).LeaseMs)
+	require.NotZero(t, current.report(t, 2, 2, false).LeaseMs)
+}
--- a/process/runs/leader_client.go
+++ b/process/runs/leader_client.go
@@ -44,7 +44,7 @@
 	sentAt          time.Time
 	droppedAt       time.Time
 	droppedAddress  string
-	conn            *peer.Conn       // of the latest report
+	conn            *peer.Conn       // of the session; nil until its first report
 	acceptedSummary *message.Summary // the latest that the leader of this session has accepted
 	summarySentAt   time.Time
 }
@@ -243,9 +243,7 @@
 		l.dropLeader(address, err.Error())
 		return
 	}
-	l.mu.Lock()
-	l.conn = conn
-	l.mu.Unlock()
+	l.useConn(conn)
 	ctx, cancel = context.WithTimeout(ctx, l.node.cfg.Timing.ReportTimeout)
 	defer cancel()
 	now := l.node.cfg.Clock.Now()
@@ -261,6 +259,21 @@
 	l.applyReply(now, address, r, &reply)
 }
 
+// useConn records the connection of the next report. A session ends with its connection, since
+// orders that the leader wrote to it may be lost: the next one's full report resolves them.
+func (l *leaderClient) useConn(conn *peer.Conn) {
+	l.mu.Lock()
+	replaced := l.conn != nil && l.conn != conn
+	if replaced {
+		l.beginSession()
+	}
+	l.conn = conn
+	l.mu.Unlock()
+	if replaced {
+		l.node.cfg.Log.Emit(event.SessionRenewed, "reason", "the connection to the leader was replaced")
+	}
+}
+
 // buildReport returns the next report and marks its contents as reported.
 func (l *leaderClient) buildReport(now time.Time) *message.Report {
 	l.mu.Lock()
--- a/process/runs/leader_client_test.go
+++ b/process/runs/leader_client_test.go
@@ -1,12 +1,15 @@
 package runs
 
 import (
+	"context"
 	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/connection/peer"
+	"camphorhead.example/camphorhead/process/pool"
 	"camphorhead.example/camphorhead/request/job"
 )
 
@@ -100,3 +103,60 @@
 		require.Equal(t, 1, left, "round %d: an end that no leader has recorded is removed", i)
 	}
 }
+
+// fakeLeader accepts every report.
+type fakeLeader struct{ reports chan message.Report }
+
+func (l fakeLeader) Queue(peer.Request) bool { return false }
+
+func (l fakeLeader) Handle(_ context.Context, r peer.Request) {
+	var report message.Report
+	if r.Kind != message.KindReport || r.Decode(&report) != nil {
+		return
+	}
+	l.reports <- report
+	r.Reply(message.ReportReply{Term: report.Term, LeaseMs: testGrant.Milliseconds()})
+}
+
+func (r *rig) network(h peer.Handler) *peer.Network {
+	r.t.Helper()
+	workers := pool.New(2, 16)
+	r.t.Cleanup(workers.Close)
+	network := peer.New(peer.Config{
+		Listen: "127.0.0.1:0", Key: []byte("key"), Hello: func() message.Hello { return message.Hello{ID: "process"} },
+	}, workers, h)
+	require.NoError(r.t, network.Start())
+	r.t.Cleanup(func() { require.NoError(r.t, network.Close()) })
+	return network
+}
+
+// Guards against orders that are lost for good when a connection is reset: a report that is due
+// before the tick that finds the connection closed went on in the same session over another one,
+// so that no full report resolved the orders (review, case 3).
+func TestReplacedConnectionBeginsSession(t *testing.T) {
+	r := newRig(t)
+	leader := fakeLeader{reports: make(chan message.Report, 4)}
+	address := r.network(leader).Address()
+	l := &r.node.leader
+	// The announcement of the worker has triggered a report, for which no leader is known.
+	r.eventually("the send loop ends", func() bool { return !l.sending.Load() })
+	r.node.cfg.Net = r.network(leader)
+	l.mu.Lock()
+	l.term, l.address = 1, address
+	l.mu.Unlock()
+
+	l.sendReport(t.Context())
+	first := <-leader.reports
+	require.True(t, first.Full)
+	l.sendReport(t.Context())
+	second := <-leader.reports
+	require.Equal(t, first.Session, second.Session)
+	require.False(t, second.Full)
+
+	l.conn.Close()
+	l.sendReport(t.Context())
+	third := <-leader.reports
+	require.Greater(t, third.Session, first.Session)
+	require.True(t, third.Full)
+	require.Equal(t, uint64(1), third.Sequence)
+}
