connection/peer: close the connection of a notification that is rejected

A process whose worker pool is full dropped notifications, and the error that it sent back reached no one, as no call waits for it.

The receiver now closes the connection, which both sides take for the loss of what was sent over it: agents begin a session, entries follow the leader again and get its whole state. The test fails before:

--- FAIL: TestRejectedNotificationEndsItsConnection Messages: a notification was lost on a connection that lives

--- a/connection/peer/conn.go
+++ b/connection/peer/conn.go
@@ -146,12 +146,16 @@
 	return p.Await(ctx, reply)
 }
 
-// Notify sends a message that has no reply. A nil error does not confirm delivery.
+// noCall is the call ID of a notification; calls have IDs from 1.
+const noCall = 0
+
+// Notify sends a message that has no reply. A nil error does not confirm delivery, but a
+// notification is lost only with its connection.
 func (c *Conn) Notify(kind message.Kind, body any) error {
 	if c.isClosed.Load() {
 		return outcome.New(outcome.ConnectionLost, "connection closed before the message was sent").AsNotRun()
 	}
-	return c.send(kind, 0, body)
+	return c.send(kind, noCall, body)
 }
 
 // Closed reports whether the connection has ended.
--- a/connection/peer/loop.go
+++ b/connection/peer/loop.go
@@ -138,21 +138,28 @@
 	case message.KindPing:
 		_ = c.send(message.KindReply, f.Call, message.Ping{})
 	default:
-		l.submit(Request{Conn: c, Kind: f.Kind, body: f.Body, call: f.Call})
+		return l.submit(Request{Conn: c, Kind: f.Kind, body: f.Body, call: f.Call})
 	}
 	return true
 }
 
-// submit passes a request to the handler's own queue or to the pool. A full or
-// closed pool fails the request with outcome.QueueFull.
-func (l *eventLoop) submit(r Request) {
+// submit passes a request to the handler's own queue or to the pool. A full or closed pool fails
+// a call with outcome.QueueFull. It ends the connection of a notification, by returning false:
+// the sender learns of a lost one only by the loss of the connection.
+func (l *eventLoop) submit(r Request) bool {
 	if l.net.handler.Queue(r) {
-		return
+		return true
 	}
 	err := l.net.pool.Submit(func(ctx context.Context) { l.net.handler.Handle(ctx, r) })
-	if err != nil {
-		r.Fail(outcome.New(outcome.QueueFull, "request rejected: the worker pool is full or closed"))
+	if err == nil {
+		return true
 	}
+	if r.call == noCall {
+		l.net.cfg.Observer.NotificationRejected(*r.Conn.Remote())
+		return false
+	}
+	r.Fail(outcome.New(outcome.QueueFull, "request rejected: the worker pool is full or closed"))
+	return true
 }
 
 // Traffic counts the bytes of frames by message kind. It is safe for concurrent use.
@@ -184,11 +191,12 @@
 
 type nopObserver struct{}
 
-func (nopObserver) ConnOpened(message.Hello)        {}
-func (nopObserver) ConnClosed(message.Hello, error) {}
-func (nopObserver) ConnTimedOut(message.Hello)      {}
-func (nopObserver) ConnRefused(string, error)       {}
-func (nopObserver) FrameMalformed(string, error)    {}
+func (nopObserver) ConnOpened(message.Hello)           {}
+func (nopObserver) ConnClosed(message.Hello, error)    {}
+func (nopObserver) ConnTimedOut(message.Hello)         {}
+func (nopObserver) NotificationRejected(message.Hello) {}
+func (nopObserver) ConnRefused(string, error)          {}
+func (nopObserver) FrameMalformed(string, error)       {}
 
 // nopLogger discards gnet's log lines; the Observer reports connection events.
 type nopLogger struct{}
--- a/connection/peer/network.go
+++ b/connection/peer/network.go
@@ -62,7 +62,9 @@
 	ConnOpened(remote message.Hello)
 	ConnClosed(remote message.Hello, err error) // follows ConnOpened
 	ConnTimedOut(remote message.Hello)          // closed after PingTimeout
-	ConnRefused(address string, err error)      // closed after a failed handshake
+	// NotificationRejected is called when the pool rejects a notification; ConnClosed follows.
+	NotificationRejected(remote message.Hello)
+	ConnRefused(address string, err error) // closed after a failed handshake
 	FrameMalformed(address string, err error)
 }
 
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -210,3 +210,33 @@
 		require.Less(t, after.StackInuse, uint64(64<<20), name)
 	}
 }
+
+// blockingHandler holds every request until release is closed.
+type blockingHandler struct{ release chan struct{} }
+
+func (h blockingHandler) Handle(context.Context, Request) { <-h.release }
+func (blockingHandler) Queue(Request) bool                { return false }
+
+// Guards against notifications, such as orders to an agent, that an overloaded process drops
+// while their connection lives on, so that the sender never learns of it.
+func TestRejectedNotificationEndsItsConnection(t *testing.T) {
+	workers := pool.New(1, 1)
+	handler := blockingHandler{release: make(chan struct{})}
+	receiver := New(Config{
+		Listen: "127.0.0.1:0", Key: []byte("key"), Hello: func() message.Hello { return message.Hello{ID: "receiver"} },
+	}, workers, handler)
+	require.NoError(t, receiver.Start())
+	t.Cleanup(func() {
+		close(handler.release)
+		require.NoError(t, receiver.Close())
+		workers.Close()
+	})
+	sender := startNetwork(t, "sender", "key", nil)
+	conn, err := sender.Conn(testContext(t), receiver.Address())
+	require.NoError(t, err)
+	const sent = 8 // more than one worker and a queue of one take
+	for range sent {
+		_ = conn.Notify(message.KindOrders, message.Orders{}) // fails once the connection has ended
+	}
+	require.Eventually(t, conn.Closed, 10*time.Second, time.Millisecond, "a notification was lost on a connection that lives")
+}
--- a/process/event/catalogue.go
+++ b/process/event/catalogue.go
@@ -48,6 +48,7 @@
 	{ConnectionTimedOut, "connection_silent", Error, "connection timed out and is replaced", withUnits("peer address silent_ms pending_calls"), "If it repeats for one host or link, check the network between the two processes."},
 	{MalformedFrame, "malformed_frame", Error, "malformed frame; connection is closed", withUnits("peer address reason"), "Check which program uses the address and that all processes run compatible versions."},
 	{AuthenticationRefused, "authentication_refused", Error, "authentication failed", withUnits("peer address surface reason"), "Check that all processes have the same key, or that the token of the caller is valid."},
+	{NotificationRejected, "notification_rejected", Error, "notification was rejected because the worker pool is full; connection is closed", withUnits("peer address"), "The process is overloaded. Both sides resolve what was lost once they are connected again."},
 }
 
 var membershipEvents = []Definition{
--- a/process/event/id.go
+++ b/process/event/id.go
@@ -25,6 +25,7 @@
 	_
 	MalformedFrame
 	AuthenticationRefused
+	NotificationRejected
 )
 
 // Membership: 3000 to 3999.
--- a/process/event/observer.go
+++ b/process/event/observer.go
@@ -27,6 +27,11 @@
 	c.log.Emit(ConnectionTimedOut, "peer", remote.ID, "address", remote.Address)
 }
 
+// NotificationRejected logs a notification that the full pool rejected.
+func (c ConnectionLog) NotificationRejected(remote message.Hello) {
+	c.log.Emit(NotificationRejected, "peer", remote.ID, "address", remote.Address)
+}
+
 // ConnRefused logs a failed handshake.
 func (c ConnectionLog) ConnRefused(address string, err error) {
 	c.log.Emit(AuthenticationRefused, "address", address, "surface", "frames", "reason", err.Error())
