process/schedule, process/lead: split orders that exceed a frame

The table now returns the orders of an agent in messages of about 512 KiB, and the leader closes the connection if a message cannot be sent, with which the session ends. The tests fail before:

--- FAIL: TestOrdersBeyondAFrameArrive Messages: 0 of 6 starts arrived --- FAIL: TestOrdersNotSentEndTheSession Error: Condition never satisfied

--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -314,7 +314,8 @@
 	return l.node.cfg.Clock.Now().Before(l.mu.validUntil)
 }
 
-// sendOrders drops orders that cannot be sent: the agent's next full report resolves their runs.
+// sendOrders drops orders that cannot be sent and closes their connection, with which the agent's
+// session ends: the full report that begins the next one resolves their runs.
 func (l *leaderTerm) sendOrders(list []schedule.AgentOrders) {
 	for _, o := range list {
 		l.mu.Lock()
@@ -326,6 +327,7 @@
 		if err := session.conn.Notify(message.KindOrders, &o.Orders); err != nil {
 			l.node.cfg.Log.Emit(event.OrdersNotSent, "agent", o.Agent, "session", o.Orders.Session,
 				"tasks", len(o.Orders.Starts), "error", err)
+			session.conn.Close()
 		}
 	}
 }
--- a/process/lead/sessions_test.go
+++ b/process/lead/sessions_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"camphorhead.example/camphorhead/connection/frame"
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
 	"camphorhead.example/camphorhead/process/pool"
+	"camphorhead.example/camphorhead/process/schedule"
 	"camphorhead.example/camphorhead/request/job"
 	"camphorhead.example/camphorhead/request/resources"
 	"camphorhead.example/camphorhead/version/profile"
@@ -74,12 +77,16 @@
 
 func (l *leaderTerm) acceptJob(t *testing.T, id string) {
 	t.Helper()
-	step := job.Step{Count: 1, Need: resources.Resources{MilliCPU: 1000, MemoryMB: 1000}}
-	def := &job.Definition{ID: id, Profile: "p", Steps: []job.Step{step}}
-	require.True(t, l.table.Accept(l.node.cfg.Clock.Now(), def, l.number, false))
+	require.True(t, l.table.Accept(l.node.cfg.Clock.Now(), testJob(id), l.number, false))
 	l.dispatch()
 }
 
+// testJob returns a job of one task.
+func testJob(id string) *job.Definition {
+	step := job.Step{Count: 1, Need: resources.Resources{MilliCPU: 1000, MemoryMB: 1000}}
+	return &job.Definition{ID: id, Profile: "p", Steps: []job.Step{step}}
+}
+
 // Guards against orders that are written to a connection which the agent has given up: a report
 // of its earlier session may arrive over it after the next session has begun (review, case 1).
 func TestLateReportDoesNotRedirectOrders(t *testing.T) {
@@ -112,3 +119,40 @@
 	require.NotZero(t, current.report(t, 2, 1, true).LeaseMs)
 	require.NotZero(t, current.report(t, 2, 2, false).LeaseMs)
 }
+
+// Guards against orders that never arrive because they exceed a frame: many jobs with large inputs
+// that are placed at one agent in one pass.
+func TestOrdersBeyondAFrameArrive(t *testing.T) {
+	const jobs = 6
+	l := newSchedulingLeader(t)
+	agent := connectAgent(t, l.node)
+	require.NotZero(t, agent.report(t, 1, 1, true).LeaseMs)
+	for i := range jobs {
+		def := testJob(fmt.Sprintf("j%d", i))
+		def.Input = make([]byte, 256<<10)
+		require.True(t, l.table.Accept(l.node.cfg.Clock.Now(), def, l.number, false))
+	}
+	l.dispatch()
+	starts, inputs := 0, 0
+	for starts < jobs {
+		select {
+		case o := <-agent.orders:
+			starts += len(o.Starts)
+			inputs += len(o.Inputs)
+		case <-time.After(10 * time.Second):
+			require.Fail(t, "orders were lost", "%d of %d starts arrived", starts, jobs)
+		}
+	}
+	require.Equal(t, jobs, inputs)
+}
+
+// Guards against a session that goes on after an order could not be sent over its connection.
+func TestOrdersNotSentEndTheSession(t *testing.T) {
+	l := newSchedulingLeader(t)
+	agent := connectAgent(t, l.node)
+	require.NotZero(t, agent.report(t, 1, 1, true).LeaseMs)
+	l.sendOrders([]schedule.AgentOrders{{Agent: testAgent, Orders: message.Orders{
+		Session: 1, Inputs: []message.JobInput{{Job: "j", Input: make([]byte, frame.MaxBytes)}},
+	}}})
+	require.Eventually(t, agent.conn.Closed, 10*time.Second, time.Millisecond)
+}
--- a/process/schedule/orders.go
+++ b/process/schedule/orders.go
@@ -15,43 +15,68 @@
 		if t.cfg.AdmitLink != nil && len(a.pendingStarts) > 0 && !t.cfg.AdmitLink(a.location.Region, a.pendingStartBytes()) {
 			continue // the worker's capacity stays reserved for the runs meanwhile
 		}
-		o := message.Orders{Term: t.cfg.Term, Session: a.session, Recorded: a.durableSerial}
-		a.sentSerial = a.durableSerial
-		for _, run := range a.pendingAdopted {
-			o.Adopted = append(o.Adopted, startOrder(run))
-		}
-		for _, run := range a.pendingStarts {
-			o.Starts = append(o.Starts, startOrder(run))
-			j := run.task.step.job()
-			if j.inputSession[a.id] != a.session {
-				j.inputSession[a.id] = a.session
-				o.Inputs = append(o.Inputs, message.JobInput{Job: j.def.ID, Input: j.def.Input})
-			}
+		list = append(list, t.takeAgentOrders(a)...)
+	}
+	return list
+}
+
+// maxOrdersBytes is the estimated size at which the orders of an agent go on in another message.
+// It leaves room in a frame of 1 MiB for the largest input of a job, 256 KiB.
+const maxOrdersBytes = 512 << 10
+
+// takeAgentOrders returns the unsent orders of an agent, in as many messages as fit into frames,
+// and clears them.
+func (t *Table) takeAgentOrders(a *agentState) []AgentOrders {
+	first := AgentOrders{Agent: a.id, Orders: message.Orders{Term: t.cfg.Term, Session: a.session, Recorded: a.durableSerial}}
+	list, size := []AgentOrders{first}, 0
+	reserve := func(bytes int) *message.Orders {
+		if size > 0 && size+bytes > maxOrdersBytes {
+			list, size = append(list, first), 0
 		}
-		for _, key := range a.pendingStops {
-			o.Stops = append(o.Stops, message.StopRun{Key: key})
+		size += bytes
+		return &list[len(list)-1].Orders
+	}
+	for _, run := range a.pendingAdopted {
+		o := reserve(startOverheadBytes)
+		o.Adopted = append(o.Adopted, startOrder(run))
+	}
+	for _, run := range a.pendingStarts {
+		o := reserve(a.startBytes(run))
+		o.Starts = append(o.Starts, startOrder(run))
+		j := run.task.step.job()
+		if j.inputSession[a.id] != a.session {
+			j.inputSession[a.id] = a.session
+			o.Inputs = append(o.Inputs, message.JobInput{Job: j.def.ID, Input: j.def.Input})
 		}
-		a.pendingStarts, a.pendingStops, a.pendingAdopted = nil, nil, nil
-		list = append(list, AgentOrders{Agent: a.id, Orders: o})
 	}
+	for _, key := range a.pendingStops {
+		o := reserve(startOverheadBytes)
+		o.Stops = append(o.Stops, message.StopRun{Key: key})
+	}
+	a.sentSerial = a.durableSerial
+	a.pendingStarts, a.pendingStops, a.pendingAdopted = nil, nil, nil
 	return list
 }
 
-// startOverheadBytes is the assumed size of a start order without the job's input.
+// startOverheadBytes is the assumed size of an order without the job's input.
 const startOverheadBytes = 100
 
-// pendingStartBytes includes the job inputs that the agent's session has not received.
 func (a *agentState) pendingStartBytes() int {
 	bytes := 0
 	for _, run := range a.pendingStarts {
-		bytes += startOverheadBytes
-		if j := run.task.step.job(); j.inputSession[a.id] != a.session {
-			bytes += len(j.def.Input)
-		}
+		bytes += a.startBytes(run)
 	}
 	return bytes
 }
 
+// startBytes includes the job's input if the agent's session has not received it.
+func (a *agentState) startBytes(run *runState) int {
+	if j := run.task.step.job(); j.inputSession[a.id] != a.session {
+		return startOverheadBytes + len(j.def.Input)
+	}
+	return startOverheadBytes
+}
+
 // startOrder also describes an adopted run to its agent.
 func startOrder(run *runState) message.StartRun {
 	def, j := run.task.step.def, run.task.step.job()
--- a/process/schedule/place.go
+++ b/process/schedule/place.go
@@ -21,7 +21,7 @@
 	passTimeDivisor = 5
 )
 
-// AgentOrders are the unsent orders for one agent.
+// AgentOrders are orders for one agent that fit into one frame.
 type AgentOrders struct {
 	Agent  string
 	Orders message.Orders
@@ -50,7 +50,7 @@
 }
 
 // Dispatch runs a scheduling pass if a change since the previous one allows new
-// placements, and returns the unsent orders of all agents.
+// placements, and returns the unsent orders of all agents; one with many has several entries.
 func (t *Table) Dispatch(now time.Time) []AgentOrders {
 	t.mu.Lock()
 	defer t.mu.Unlock()
