process/schedule: give tasks without another worker to an ejected one

Cause: each failed task counted against its worker, also eight of one broken job, and each doubled the penalty. An ejected worker got single trials after 100 other starts or ten minutes, whether or not a waiting task had another worker.

Failures of one job in a row now count once until the worker is ejected, and the penalty grows only with starts that were ordered after the previous failure. A task that no other worker can take at any load, or whose failures have no limit, goes to an ejected worker at most 2 s after its latest failure; a gang as well. Tasks with a limit of attempts go there one at a time. A trial without an outcome is followed by the next after 6 s instead of 30 s.

--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -175,10 +175,16 @@
 	}
 }
 
-// schedulable reports whether new runs may be ordered at an agent.
+// schedulable reports whether new runs may be ordered at an agent now.
 func (t *Table) schedulable(now time.Time, a *agentState) bool {
+	return t.available(now, a) && !now.Before(a.pausedUntil)
+}
+
+// available reports whether new runs may be ordered at an agent, at the latest after a pause that
+// follows a refusal.
+func (t *Table) available(now time.Time, a *agentState) bool {
 	return a.worker.Reachable && !a.worker.Draining && t.registered[a.id] &&
-		now.Sub(a.reportedAt) < maxMissedReports*t.cfg.ReportInterval && !now.Before(a.pausedUntil)
+		now.Sub(a.reportedAt) < maxMissedReports*t.cfg.ReportInterval
 }
 
 // maxMissedReports is the number of missed reports after which an agent gets no new
--- a/process/schedule/ends.go
+++ b/process/schedule/ends.go
@@ -234,8 +234,7 @@
 	t.release(run)
 	a.pausedUntil = now.Add(refusalPause)
 	if r.Unhealthy {
-		t.startTracker.resolved++
-		t.setHealth(a, a.health.afterFailedStart(now, t.startTracker.resolved))
+		t.recordFailedStart(now, a, failedStart{orderedAt: run.orderedAt})
 	}
 	if r.Reason == message.RefusedLease {
 		a.pausedUntil = now.Add(leasePause)
--- a/process/schedule/gang.go
+++ b/process/schedule/gang.go
@@ -24,12 +24,17 @@
 	if s.def.SameRack {
 		racks = t.rackChoices(v)
 	}
+	req := t.placementRequest(v, c)
 	for _, rack := range racks {
-		if workers := t.planGang(v, c, rack); workers != nil {
+		req.OnlyRack = rack
+		if workers := planGang(&req, v.nodes, s.tasksLeft); workers != nil {
 			t.startGang(now, v, s, workers, number)
 			return
 		}
 	}
+	if workers := t.planGangOnEjected(v, &req, s); workers != nil {
+		t.startGang(now, v, s, workers, number)
+	}
 }
 
 // rackChoices returns all racks, followed by an empty name that allows several racks.
@@ -43,31 +48,48 @@
 	return append(racks, "")
 }
 
-// planGang returns for each member the index of its worker in v.agents; nil if the members
-// do not all fit. An empty rack allows all racks.
-func (t *Table) planGang(v *view, c candidate, rack string) []int {
-	s := c.step
-	req := t.placementRequest(v, c)
-	req.OnlyRack = rack
-	nodes := make([]*placement.Node, len(v.nodes))
-	for i, n := range v.nodes {
-		planned := *n
-		nodes[i] = &planned
+// planGang returns for each of count members the index of its worker; nil if they do not all fit.
+func planGang(req *placement.Request, nodes []*placement.Node, count int) []int {
+	planned := make([]*placement.Node, len(nodes))
+	for i, n := range nodes {
+		node := *n
+		planned[i] = &node
 	}
-	count := map[int]int{}
+	members := map[int]int{}
 	var workers []int
-	for range s.tasksLeft {
-		i := placement.Pick(&req, nodes, func(i int) int { return count[i] }, func(int) bool { return false })
+	for range count {
+		i := placement.Pick(req, planned, func(i int) int { return members[i] }, func(int) bool { return false })
 		if i < 0 {
 			return nil
 		}
-		count[i]++
-		nodes[i].Used = nodes[i].Used.Add(req.Charge)
+		members[i]++
+		planned[i].Used = planned[i].Used.Add(req.Charge)
 		workers = append(workers, i)
 	}
 	return workers
 }
 
+// planGangOnEjected is planGang for a gang that does not fit on the other workers at any load, with
+// the ejected workers that are due.
+func (t *Table) planGangOnEjected(v *view, req *placement.Request, s *stepState) []int {
+	empty := withoutLoad(req)
+	if t.startTracker.ejectedCount == 0 || planGang(&empty, t.emptyNodes(v), s.tasksLeft) != nil {
+		return nil
+	}
+	nodes := t.ejectedNodes(v, true)
+	for i, n := range v.nodes {
+		nodes[i].Open = nodes[i].Open || n.Open
+	}
+	req.OnlyRack = ""
+	workers := planGang(req, nodes, s.tasksLeft)
+	for _, i := range workers {
+		if a := v.agents[i]; a.health.ejected {
+			t.setHealth(a, a.health.afterTrialOrdered(v.now, t.startTracker.resolved))
+		}
+	}
+	return workers
+}
+
 // startGang gives all members the checkpoint of the last member that has one.
 func (t *Table) startGang(now time.Time, v *view, s *stepState, workers []int, number uint32) {
 	checkpoint := ""
--- a/process/schedule/place.go
+++ b/process/schedule/place.go
@@ -47,6 +47,7 @@
 	service, label, rack, region, image, profile     string
 	need                                             resources.Resources
 	fills, sharesProcessors, serves, nothingWithheld bool // nothingWithheld: Request.Reserved is nil
+	unlimitedAttempts                                bool
 }
 
 // Dispatch runs a scheduling pass if a change since the previous one allows new
@@ -293,6 +294,7 @@
 	class := placementClass{
 		service: a.Service, label: a.Label, rack: a.Rack, region: a.Region, image: s.def.Image,
 		need: s.def.Need, fills: a.Fills, sharesProcessors: a.Oversubscribe, serves: a.Serves, nothingWithheld: a.Reserved == nil,
+		unlimitedAttempts: s.unlimitedAttempts(),
 	}
 	if a.Slowdown != nil {
 		class.profile = s.job().def.Profile
@@ -301,16 +303,17 @@
 }
 
 // pick returns the index of the worker for a task, or -1. Unless the request is urgent, a
-// worker that is due for a trial start comes first.
+// worker that is due for a trial start comes first; an ejected one comes last.
 func (t *Table) pick(req *placement.Request, v *view, task *taskState) int {
 	if req.Reserved != nil || req.Region == "" {
 		if at := t.trialWorker(v, req, task); at >= 0 {
 			return at
 		}
 	}
-	return placement.Pick(req, v.nodes,
-		func(i int) int { return task.step.onAgent[v.agents[i].id] },
-		func(i int) bool { return slices.Contains(task.avoidedAgents, v.agents[i].id) })
+	if at := placement.Pick(req, v.nodes, v.runsOf(task.step), task.avoids(v)); at >= 0 {
+		return at
+	}
+	return t.resortWorker(v, req, task)
 }
 
 // rackOf returns the rack of the step's active tasks; empty if there are none.
--- a/process/schedule/requests_test.go
+++ b/process/schedule/requests_test.go
@@ -192,7 +192,7 @@
 	}
 	for _, a := range b.table.sortedAgents {
 		for range 5 {
-			b.table.setHealth(a, a.health.afterFailedStart(b.now(), 0))
+			b.table.setHealth(a, a.health.afterFailedStart(b.now(), 0, failedStart{}))
 		}
 	}
 	require.Equal(t, 3, b.table.startTracker.ejectedCount)
--- a/process/schedule/starts.go
+++ b/process/schedule/starts.go
@@ -10,37 +10,6 @@
 	"camphorhead.example/camphorhead/request/placement"
 )
 
-const (
-	// ejectAfterFailures is the number of consecutive failed starts after which a worker
-	// is ejected. A single failure is often caused by the job.
-	ejectAfterFailures = 2
-	// firstPenalty is how long a worker gets no trial after a failed start; it doubles
-	// with each further one up to maxPenalty.
-	firstPenalty = 500 * time.Millisecond
-	maxPenalty   = 30 * time.Second
-	// startsPerTrial is the number of starts in the whole fleet whose outcome must become
-	// known between two trials of an ejected worker. It limits its share of them to 1%.
-	startsPerTrial = 100
-	// maxTrialWait is the time after which an ejected worker gets a trial even if there
-	// were fewer than startsPerTrial starts.
-	maxTrialWait = 10 * time.Minute
-	trialTimeout = 30 * time.Second // after which a trial without an outcome is followed by the next
-	// maxEjectedPercent bounds the share of the workers that are ejected concurrently, so
-	// that a series of broken jobs cannot eject the whole fleet.
-	maxEjectedPercent = 30
-	// startProbation is the age at which a run counts as a successful start. It exceeds
-	// the age up to which an agent reports a failure as early, plus the delay of that
-	// report.
-	startProbation = 3 * time.Second
-)
-
-const (
-	healthWeight = 0.25 // of one run in the failure rate of its worker
-	// healthHalfLife is the time after which a failure rate without new runs counts half.
-	// Without that decay a worker that gets no runs would never be tried again.
-	healthHalfLife = 3 * time.Second
-)
-
 // startTracker holds the fleet's state for detecting workers on which starts fail.
 type startTracker struct {
 	resolved     uint64 // starts whose outcome is known
@@ -51,66 +20,6 @@
 
 func newStartTracker() startTracker { return startTracker{failing: map[*agentState]struct{}{}} }
 
-// health rates one worker by the outcome of its latest runs. Its methods return the
-// changed value; setHealth stores it.
-type health struct {
-	failureRate  float64   // decaying share of the runs that failed, at updatedAt
-	updatedAt    time.Time // zero before the first run has ended
-	failedStarts uint32    // consecutive ones, the latest at lastFailedAt
-	lastFailedAt time.Time
-	ejected      bool // the worker gets no runs except trials
-	// A worker whose latest start failed gets no trial before penaltyUntil. An ejected one
-	// gets its trial once startTracker.resolved reaches trialAtResolved, at the latest at
-	// trialDeadline.
-	penaltyUntil    time.Time
-	trialAtResolved uint64
-	trialDeadline   time.Time
-	trialPending    bool // the outcome of a trial is not known yet
-}
-
-// failPct returns the failure rate, decayed to the given time, in percent.
-func (h *health) failPct(now time.Time) int {
-	if h.updatedAt.IsZero() {
-		return 0
-	}
-	age := float64(now.Sub(h.updatedAt)) / float64(healthHalfLife)
-	return int(100 * h.failureRate / (1 + age*age))
-}
-
-// afterFailedStart returns the changed health. resolved is that of startTracker.
-func (h health) afterFailedStart(now time.Time, resolved uint64) health {
-	h.failedStarts++
-	h.lastFailedAt, h.trialPending = now, false
-	h.ejected = h.failedStarts >= ejectAfterFailures
-	h.penaltyUntil = now.Add(min(firstPenalty<<min(h.failedStarts-1, 20), maxPenalty))
-	h.trialAtResolved, h.trialDeadline = resolved+startsPerTrial, now.Add(maxTrialWait)
-	return h
-}
-
-// afterSuccessfulStart clears the failed starts. It clears the whole health of an ejected
-// worker, which has been repaired and which its earlier failures would keep idle.
-func (h health) afterSuccessfulStart() health {
-	if h.ejected {
-		return health{}
-	}
-	h.failedStarts, h.trialPending = 0, false
-	return h
-}
-
-// trialDue reports whether a worker whose latest start failed may get a trial.
-func (h *health) trialDue(now time.Time, resolved uint64) bool {
-	if now.Before(h.penaltyUntil) {
-		return false
-	}
-	return !h.ejected || h.trialPending || resolved >= h.trialAtResolved || !now.Before(h.trialDeadline)
-}
-
-func (h health) afterTrialOrdered(now time.Time, resolved uint64) health {
-	h.trialPending, h.penaltyUntil = true, now.Add(trialTimeout)
-	h.trialAtResolved, h.trialDeadline = resolved+startsPerTrial, now.Add(maxTrialWait)
-	return h
-}
-
 // setHealth stores the health of an agent's worker and updates the tracker. It does not
 // eject a worker beyond maxEjectedPercent.
 func (t *Table) setHealth(a *agentState, h health) {
@@ -158,12 +67,16 @@
 	case how == job.EndDone:
 		t.recordSuccessfulStart(run)
 	case early && t.countStartingAgents(run.task.avoidedAgents) == 0:
-		t.startTracker.resolved++
 		t.cfg.Meter.Add(metrics.StartsFailedEarly, 1)
-		t.setHealth(a, a.health.afterFailedStart(now, t.startTracker.resolved))
+		t.recordFailedStart(now, a, failedStart{job: run.task.id().Job, orderedAt: run.orderedAt})
 	}
 }
 
+func (t *Table) recordFailedStart(now time.Time, a *agentState, f failedStart) {
+	t.startTracker.resolved++
+	t.setHealth(a, a.health.afterFailedStart(now, t.startTracker.resolved, f))
+}
+
 // recordSuccessfulStart clears the failures of the worker unless the run was ordered
 // before the latest of them: such a run does not show that the worker has been repaired.
 func (t *Table) recordSuccessfulStart(run *runState) {
--- a/process/schedule/testbench_test.go
+++ b/process/schedule/testbench_test.go
@@ -421,7 +421,7 @@
 		}
 	}
 	a := b.table.agents["a"]
-	b.table.setHealth(a, health{}.afterFailedStart(b.now(), 0))
+	b.table.setHealth(a, health{}.afterFailedStart(b.now(), 0, failedStart{}))
 	b.clock.Advance(firstPenalty)
 	b.report("a", message.Report{Running: []message.RunState{{Key: other, PacePct: fullPacePct}}})
 	b.report("b", message.Report{Ends: []message.RunEnd{runEnd(stopped, job.EndStopped, 1)}})
