process/runs, process/schedule: do not wait for agents of departed workers

The agent knew that its worker had departed, but kept its runs until their lease was over, and was stopped before that.

An agent now concludes the runs of an instance that was draining, has withdrawn and refuses connections, and the leader leaves agents out of the list whose worker drains and that have no runs. An empty list is written as such.

--- a/process/runs/announcements.go
+++ b/process/runs/announcements.go
@@ -101,6 +101,11 @@
 	n.mu.Lock()
 	n.announcements.withdraw(id)
 	if n.worker.ID == id {
+		// A withdrawal of an earlier instance with this ID may be late; it says nothing of one that
+		// is not draining.
+		if n.worker.Draining && n.isAnnounced() {
+			n.departedMs = n.instanceStartMs
+		}
 		n.worker.Reachable, n.worker.Draining, n.unreportedChange = false, true, true
 	}
 	n.mu.Unlock()
--- a/process/runs/fake_test.go
+++ b/process/runs/fake_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
+	"github.com/zeebo/errs"
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/ledger"
@@ -36,6 +37,7 @@
 const (
 	succeeds     callOutcome = iota
 	unreachable              // the call does not reach the worker
+	notListening             // the connection is refused
 	executedLate             // no response; executed by runDelayedCalls
 	responseLost             // executed, but without a response
 	refuses                  // refused with refusal; the worker does nothing
@@ -146,6 +148,8 @@
 	switch w.outcome(name) {
 	case unreachable:
 		return platform.ErrUnavailable
+	case notListening:
+		return errs.Combine(platform.ErrUnavailable, platform.ErrNotListening)
 	case executedLate:
 		w.delayedCalls = append(w.delayedCalls, func() { _ = execute() })
 		return platform.ErrUncertain
--- a/process/schedule/restore.go
+++ b/process/schedule/restore.go
@@ -102,9 +102,14 @@
 }
 
 // durableAgents returns the sorted ids of the agents that may have runs, and whether they
-// differ from those in the store.
+// differ from those in the store. An agent without runs whose worker drains gets none, so the
+// next leader need not wait for it, which may have left by then.
 func (t *Table) durableAgents() (agents []string, changed bool) {
-	for id := range t.agents {
+	agents = []string{}
+	for id, a := range t.agents {
+		if a.worker.Draining && len(a.runs) == 0 {
+			continue
+		}
 		agents = append(agents, id)
 		changed = changed || !t.registered[id]
 	}
--- a/process/schedule/restore_test.go
+++ b/process/schedule/restore_test.go
@@ -478,3 +478,37 @@
 	b.commit()
 	require.Equal(t, job.Done, b.state("j"))
 }
+
+// Guards against tasks that wait, after each change of the leader, for an agent that has left: the
+// next leader waits for each agent in the store's list that may have runs (review, case 4).
+func TestAgentOfADrainedWorkerIsNotWaitedFor(t *testing.T) {
+	b := newTestbench(t, 1)
+	b.join("a")
+	b.accept(definition("j", checkProfile, 1))
+	k, _ := onlyEntry(t, b.starts())
+	b.join("b")
+	durable := func() []string {
+		agents, changed := b.table.TakeDurableAgents()
+		if changed {
+			b.table.SetRegistered(agents)
+		}
+		return agents
+	}
+	draining := workerInfo("a")
+	draining.Draining = true
+	b.report("a", message.Report{Worker: draining})
+	require.Equal(t, []string{"a", "b"}, durable(), "a run of the worker may be alive")
+	b.report("a", message.Report{Ends: []message.RunEnd{runEnd(k, job.EndLeaseExpired, 1)}})
+	require.Equal(t, []string{"b"}, durable())
+	_, at := onlyEntry(t, b.starts())
+	require.Equal(t, "b", at)
+
+	next := workerInfo("a")
+	next.StartedMs++
+	b.report("a", message.Report{Worker: next})
+	b.accept(definition("k", checkProfile, 40))
+	for _, at := range b.starts() {
+		require.Equal(t, "b", at, "the agent gets no runs before it is in the list")
+	}
+	require.Equal(t, []string{"a", "b"}, durable())
+}
