process/runs: take a withdrawal as a departure only if the instance drains

Withdraw marked the description of the worker as draining, so that a repeated withdrawal of an earlier instance with the same ID would have counted as the departure of the present one. The agent now keeps what the instance itself has announced. TestRunsEndWithADepartedWorker withdraws twice; the case "withdrawal of another instance" guards against it.

--- a/process/runs/announcements.go
+++ b/process/runs/announcements.go
@@ -14,8 +14,9 @@
 type announcements []announcement
 
 type announcement struct {
-	worker   message.WorkerInfo
-	sequence uint64 // orders the announcements of one instance
+	worker    message.WorkerInfo
+	sequence  uint64 // orders the announcements of one instance
+	withdrawn bool   // the worker with this ID has departed since
 }
 
 // maxAnnouncements exceeds the number of instances whose announcements can be on the way at
@@ -35,27 +36,33 @@
 	if len(*a) >= maxAnnouncements {
 		*a = slices.Delete(*a, 0, 1)
 	}
-	*a = append(*a, announcement{w, sequence})
+	*a = append(*a, announcement{worker: w, sequence: sequence})
 	return true
 }
 
-// of returns the latest announcement of the instance that started at a time.
+// of returns the latest announcement of the instance that started at a time, as draining if the
+// worker has departed since.
 func (a announcements) of(startedMs int64) (w message.WorkerInfo, ok bool) {
 	for _, b := range slices.Backward(a) {
 		if b.worker.StartedMs == startedMs {
-			return b.worker, true
+			w = b.worker
+			w.Draining = w.Draining || b.withdrawn
+			return w, true
 		}
 	}
 	return w, false
 }
 
-// withdraw marks the announcements of a worker that has departed as draining.
-func (a announcements) withdraw(id string) {
+// withdraw marks the announcements of a worker that has departed. draining reports whether the
+// instance that started at a time is one of them and had announced that it drains.
+func (a announcements) withdraw(id string, startedMs int64) (draining bool) {
 	for i := range a {
 		if a[i].worker.ID == id {
-			a[i].worker.Draining = true
+			a[i].withdrawn = true
+			draining = draining || a[i].worker.StartedMs == startedMs && a[i].worker.Draining
 		}
 	}
+	return draining
 }
 
 // Announce applies the worker's announcement of itself, unless its sequence is not above the
@@ -99,13 +106,12 @@
 // Withdraw records that the worker with this ID has departed; its runs end with it.
 func (n *Node) Withdraw(id string) {
 	n.mu.Lock()
-	n.announcements.withdraw(id)
+	// A withdrawal of an earlier instance with this ID may be late; it says nothing of one that has
+	// not announced that it drains.
+	if n.announcements.withdraw(id, n.instanceStartMs) {
+		n.departedMs = n.instanceStartMs
+	}
 	if n.worker.ID == id {
-		// A withdrawal of an earlier instance with this ID may be late; it says nothing of one that
-		// is not draining.
-		if n.worker.Draining && n.isAnnounced() {
-			n.departedMs = n.instanceStartMs
-		}
 		n.worker.Reachable, n.worker.Draining, n.unreportedChange = false, true, true
 	}
 	n.mu.Unlock()
--- a/process/runs/announcements_test.go
+++ b/process/runs/announcements_test.go
@@ -128,6 +128,7 @@
 			}
 			if c.withdrawn {
 				r.node.Withdraw(r.worker.id)
+				r.node.Withdraw(r.worker.id) // a repeated call
 			}
 			r.worker.setOutcome(always(c.outcome))
 			require.False(t, r.poll(r.node))
