--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -264,8 +264,9 @@
 }
 
 // concludeDeparted concludes the runs of a worker instance that has announced its departure and
-// does not listen any more, as the failure of a poll shows: they have ended with it. Without this
-// they would keep the leader, and the next one, waiting until the lease is over. The caller holds mu.
+// refuses connections: they have ended with it. Otherwise their tasks would wait until the lease is
+// over, and after a change of the leader until the next one has waited for this agent. The caller
+// holds mu.
 func (n *Node) concludeDeparted(now time.Time, err error) {
 	if n.departedMs == 0 || n.departedMs != n.instanceStartMs || !errors.Is(err, platform.ErrNotListening) {
 		return
--- a/process/schedule/health.go
+++ b/process/schedule/health.go
@@ -10,9 +10,9 @@
 	// with each further one that was ordered after that failure, up to maxPenalty.
 	firstPenalty = 500 * time.Millisecond
 	maxPenalty   = 30 * time.Second
-	// maxResortPenalty bounds the penalty for tasks that have no other worker. Twice the
-	// time in which they are reported and placed again stays below 3 s, after which users
-	// take a task with free capacity for lost.
+	// maxResortPenalty bounds the penalty for tasks that have no other worker. Users take a
+	// task for lost that waits beside free capacity for 3 s; this leaves 1 s for the report
+	// of the failure and the next placement.
 	maxResortPenalty = 2 * time.Second
 	// resortInterval is the minimum time between two starts at an ejected worker of tasks
 	// with a limit of attempts, unless the outcome of the first becomes known before.
@@ -50,7 +50,7 @@
 	failedStarts uint32    // consecutive ones, the latest at lastFailedAt
 	lastFailedAt time.Time
 	failedJob    string // of the latest failed start; empty: not caused by a job
-	ejected      bool   // the worker gets no runs except trials and those without another worker
+	ejected      bool   // the worker gets no runs except trials and tasks that no other worker takes
 	// A worker whose latest start failed gets no trial before penaltyUntil. An ejected one
 	// gets its trial once startTracker.resolved reaches trialAtResolved, at the latest at
 	// trialDeadline.
--- a/process/schedule/resort.go
+++ b/process/schedule/resort.go
@@ -6,9 +6,10 @@
 	"camphorhead.example/camphorhead/request/placement"
 )
 
-// resortWorker returns the index of an ejected worker for a task that no other worker takes; -1
-// if there is none. The last failed start there may have had another cause, and waiting would not
-// help the task: no other worker could take it at any load, or it may fail any number of times.
+// resortWorker returns the index of an ejected worker for a task that fits no other worker now, and
+// records the start as a trial; -1 if there is none. The worker may have been repaired. Tasks with a
+// limit of attempts wait if another worker could take them at a lower load, since further failures
+// would use up their attempts.
 func (t *Table) resortWorker(v *view, req *placement.Request, task *taskState) int {
 	limited := !task.step.unlimitedAttempts()
 	if t.startTracker.ejectedCount == 0 || limited && t.hasOtherWorker(v, req, task) {
