--- a/process/platform/http.go
+++ b/process/platform/http.go
@@ -11,7 +11,6 @@
 
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
-	"golang.org/x/sys/unix"
 
 	"camphorhead.example/camphorhead/request/job"
 )
@@ -131,13 +130,10 @@
 	return errs.Wrap(json.Unmarshal(resp.Body(), out))
 }
 
-// ClassifyTransportError returns ErrUnavailable if the call was not sent, together with
-// ErrNotListening if the connection was refused, else ErrUncertain.
+// ClassifyTransportError returns ErrUnavailable if the call was not sent, else ErrUncertain.
 func ClassifyTransportError(err error) error {
 	var dial *net.OpError
 	switch {
-	case errors.Is(err, unix.ECONNREFUSED):
-		return errs.Combine(ErrUnavailable, ErrNotListening)
 	case errors.As(err, &dial) && dial.Op == "dial",
 		errors.Is(err, fasthttp.ErrDialTimeout), errors.Is(err, fasthttp.ErrNoFreeConns):
 		return ErrUnavailable
--- a/process/platform/platform.go
+++ b/process/platform/platform.go
@@ -15,8 +15,6 @@
 	ErrConflict = errs.New("platform: revision does not match; nothing was written")
 	// ErrUnavailable reports a call that the platform did not accept. It had no effect.
 	ErrUnavailable = errs.New("platform: unavailable; the call had no effect")
-	// ErrNotListening reports, with ErrUnavailable, that no process listens at the address.
-	ErrNotListening = errs.New("platform: no process listens at the address")
 	// ErrUncertain reports a call without a response. It may have taken effect.
 	ErrUncertain = errs.New("platform: no response; the call may have taken effect")
 	// ErrCompacted reports that the store no longer has the requested changes. The caller
--- a/process/runs/announcements.go
+++ b/process/runs/announcements.go
@@ -14,9 +14,8 @@
 type announcements []announcement
 
 type announcement struct {
-	worker    message.WorkerInfo
-	sequence  uint64 // orders the announcements of one instance
-	withdrawn bool   // the worker with this ID has departed since
+	worker   message.WorkerInfo
+	sequence uint64 // orders the announcements of one instance
 }
 
 // maxAnnouncements exceeds the number of instances whose announcements can be on the way at
@@ -36,33 +35,27 @@
 	if len(*a) >= maxAnnouncements {
 		*a = slices.Delete(*a, 0, 1)
 	}
-	*a = append(*a, announcement{worker: w, sequence: sequence})
+	*a = append(*a, announcement{w, sequence})
 	return true
 }
 
-// of returns the latest announcement of the instance that started at a time, as draining if the
-// worker has departed since.
+// of returns the latest announcement of the instance that started at a time.
 func (a announcements) of(startedMs int64) (w message.WorkerInfo, ok bool) {
 	for _, b := range slices.Backward(a) {
 		if b.worker.StartedMs == startedMs {
-			w = b.worker
-			w.Draining = w.Draining || b.withdrawn
-			return w, true
+			return b.worker, true
 		}
 	}
 	return w, false
 }
 
-// withdraw marks the announcements of a worker that has departed. draining reports whether the
-// instance that started at a time is one of them and had announced that it drains.
-func (a announcements) withdraw(id string, startedMs int64) (draining bool) {
+// withdraw marks the announcements of a worker that has departed as draining.
+func (a announcements) withdraw(id string) {
 	for i := range a {
 		if a[i].worker.ID == id {
-			a[i].withdrawn = true
-			draining = draining || a[i].worker.StartedMs == startedMs && a[i].worker.Draining
+			a[i].worker.Draining = true
 		}
 	}
-	return draining
 }
 
 // Announce applies the worker's announcement of itself, unless its sequence is not above the
@@ -106,11 +99,7 @@
 // Withdraw records that the worker with this ID has departed; its runs end with it.
 func (n *Node) Withdraw(id string) {
 	n.mu.Lock()
-	// A withdrawal of an earlier instance with this ID may be late; it says nothing of one that has
-	// not announced that it drains.
-	if n.announcements.withdraw(id, n.instanceStartMs) {
-		n.departedMs = n.instanceStartMs
-	}
+	n.announcements.withdraw(id)
 	if n.worker.ID == id {
 		n.worker.Reachable, n.worker.Draining, n.unreportedChange = false, true, true
 	}
--- a/process/runs/node.go
+++ b/process/runs/node.go
@@ -117,8 +117,6 @@
 	fenceToken       int64
 	fenced, sharesID bool
 	unresponsive     bool // the latest poll had no response
-	// departedMs is instanceStartMs of the latest instance that was draining and has departed; 0: none.
-	departedMs int64
 	// listedAt is when the latest listing arrived, polledAt when the poll of the latest one with
 	// all ends was sent; zero: none.
 	listedAt, polledAt time.Time
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -119,7 +119,6 @@
 	var refusal *platform.RefusalError
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.concludeDeparted(now, err)
 	n.unresponsive = !errors.As(err, &refusal)
 	if n.unresponsive && !errors.Is(err, platform.ErrUnavailable) && n.token == n.pollToken {
 		n.token++
@@ -263,30 +262,6 @@
 	n.cfg.Ledger.Release(key.Task.String(), key.Run)
 }
 
-// concludeDeparted concludes the runs of a worker instance that has announced its departure and
-// refuses connections: they have ended with it. Otherwise their tasks would wait until the lease is
-// over, and after a change of the leader until the next one has waited for this agent. The caller
-// holds mu.
-func (n *Node) concludeDeparted(now time.Time, err error) {
-	if n.departedMs == 0 || n.departedMs != n.instanceStartMs || !errors.Is(err, platform.ErrNotListening) {
-		return
-	}
-	for _, r := range n.runs {
-		if !n.mayStillStart(now, r) {
-			n.conclude(now, r, "worker departed", "the worker has departed")
-		}
-	}
-	if n.unreportedChange {
-		n.leader.triggerReport()
-	}
-}
-
-// mayStillStart reports whether the next worker instance may execute the start of a run that is on
-// its way. The caller holds mu.
-func (n *Node) mayStillStart(now time.Time, r *run) bool {
-	return r.startInFlight || !r.noResponseAt.IsZero() && now.Sub(r.noResponseAt) < lateStartWindow
-}
-
 // concludeExpired concludes the runs of a worker whose lease expired, plus a margin of 5% of
 // WorkerLease, and which has returned no listing for half of WorkerLease. A run stays whose
 // start the next worker instance may still execute, as by its clock the lease is not over.
@@ -295,7 +270,7 @@
 	ended, leaseEnd := 0, n.lease.end()
 	if !leaseEnd.IsZero() && now.After(leaseEnd.Add(n.cfg.Timing.WorkerLease/20)) && now.Sub(n.listedAt) > n.cfg.Timing.WorkerLease/2 {
 		for _, r := range n.runs {
-			if n.mayStillStart(now, r) {
+			if r.startInFlight || !r.noResponseAt.IsZero() && now.Sub(r.noResponseAt) < lateStartWindow {
 				continue
 			}
 			n.conclude(now, r, "lease expired", "the worker did not answer until its lease was over")
