process/schedule: log long-running tasks that have no confirmed run

Cause: nothing is logged while a long-running task has no run, and term_begun tells how many agents a leader waits for, but not which or for how long.

Change: task_idle names the state of a long-running task after 3 s without a confirmed run, with the agent that is waited for, the room for the task, or the agent of the unconfirmed run; at most 20 lines a second, tasks_idle counts the rest. A fourth state, orphaned, keeps tasks whose earlier runs must end apart from those that are held. earlier_agent_lapsed and restored_tasks_requeued give the end of a leader's wait. The gauge long_running_tasks_idle has the current numbers by state. No decision of the scheduler changes.

Result: process/schedule, event, metrics, entry and lead pass with -race; vet and staticcheck of schedule, event, metrics and entry find nothing.

--- a/process/entry/metrics.go
+++ b/process/entry/metrics.go
@@ -14,6 +14,7 @@
 			metrics.Up("store", e.storeDownSince.Load() == 0 && e.node.StoreResponds()),
 		}
 	})
+	e.metrics.RegisterFunc(metrics.TasksIdle, e.idleTasks)
 	registerLoad := func(id metrics.ID, value func(l schedule.Load) int) {
 		e.metrics.RegisterFunc(id, func() []metrics.Sample {
 			l, leads := e.node.Load()
@@ -30,3 +31,15 @@
 	registerLoad(metrics.Runs, func(l schedule.Load) int { return l.Runs })
 	registerLoad(metrics.AgentsUnconfirmed, func(l schedule.Load) int { return l.UnconfirmedAgents })
 }
+
+// idleTasks returns the number of idle long-running tasks by state; nil unless this entry leads.
+func (e *Entry) idleTasks() (samples []metrics.Sample) {
+	l, leads := e.node.Load()
+	if !leads {
+		return nil
+	}
+	for state, n := range l.Idle {
+		samples = append(samples, metrics.Sample{Label: schedule.IdleState(state).String(), Value: float64(n)})
+	}
+	return samples
+}
--- a/process/event/catalogue.go
+++ b/process/event/catalogue.go
@@ -64,6 +64,8 @@
 	{TermResigned, "term_resigned", Error, "this entry reaches too few agents and resigns the term", withUnits("term agents known"), "Check the network around this entry."},
 	{RunConflicting, "run_conflicting", Error, "agent lists a run of a task that has another run", withUnits("task run agent other_run other_agent"), "The listed run is stopped if it is not the newer one of one agent. If it was alive, two runs of the task overlapped: report it as a bug in camphorhead, with the events of both agents and of the leaders before it."},
 	{EarlierLeasesLimited, "earlier_leases_limited", Info, "wait for agents of earlier terms is shortened", withUnits("term wait_ms reason"), noAction},
+	{EarlierAgentLapsed, "earlier_agent_lapsed", Info, "agent of an earlier term has not reported and is no longer waited for", withUnits("term agent wait_ms"), "Check the host. wait_ms is the time since this leader read the jobs."},
+	{RestoredTasksRequeued, "restored_tasks_requeued", Info, "held tasks of earlier terms may be placed again", withUnits("term tasks lapsed wait_ms"), "Nothing. lapsed is the number of agents that have not reported."},
 }
 
 var configurationEvents = []Definition{
@@ -120,6 +122,8 @@
 	{AdviceGiven, "advice_given", Info, "policy service has decided which workers may run a step", withUnits("job workers tickets elapsed_ms"), noAction},
 	{AdviceMissing, "advice_missing", Error, "policy service did not respond", withUnits("job workers error"), "Check the policy service. Steps of profiles that need its decision wait."},
 	{RunReappeared, "run_reappeared", Error, "worker lists a run that the agent has reported as ended or refused", withUnits("task run cause age_ms"), "The task may have run twice; report it with the log of the agent."},
+	{TaskIdle, "task_idle", Info, "long-running task has no confirmed run", withUnits("term task state wait_ms agent agents run reachable age_ms workers excluded"), "The state names the cause; see OPERATIONS.md."},
+	{TasksIdle, "tasks_idle", Info, "further long-running tasks have no confirmed run; their lines are left out", withUnits("term state tasks"), "See task_idle."},
 }
 
 var operatorEvents = []Definition{
--- a/process/event/id.go
+++ b/process/event/id.go
@@ -47,6 +47,8 @@
 	TermResigned
 	RunConflicting
 	EarlierLeasesLimited
+	EarlierAgentLapsed
+	RestoredTasksRequeued
 )
 
 // Configuration: 4000 to 4999.
@@ -119,6 +121,8 @@
 	AdviceGiven
 	AdviceMissing
 	RunReappeared
+	TaskIdle
+	TasksIdle
 )
 
 // Operators: 8000 to 8999.
--- a/process/schedule/jobs.go
+++ b/process/schedule/jobs.go
@@ -207,6 +207,9 @@
 				s.pending++
 			}
 		}
+		if def.LongRunning {
+			t.idle.add(s)
+		}
 		if mayHaveRuns && s.tasksLeft > 0 {
 			t.restoredSteps = append(t.restoredSteps, s)
 		}
--- a/process/schedule/restore.go
+++ b/process/schedule/restore.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"camphorhead.example/camphorhead/process/event"
 )
 
 // requeueRestored requeues the unfinished tasks of earlier terms once no agent can have a
@@ -18,11 +20,14 @@
 		default:
 			delete(t.unconfirmedAgents, agent)
 			t.unconfirmedExpired = true
+			t.lapsedAgents++
+			t.cfg.Log.Emit(event.EarlierAgentLapsed, "term", t.cfg.Term, "agent", agent, "wait_ms", now.Sub(t.createdAt).Milliseconds())
 		}
 	}
 	if len(t.unconfirmedAgents) > 0 {
 		return
 	}
+	requeued := 0
 	for _, s := range t.restoredSteps {
 		for i := range s.tasks {
 			if task := &s.tasks[i]; task.phase == taskUnknown {
@@ -33,11 +38,16 @@
 				}
 				task.phase = taskWaiting
 				s.pending++
+				requeued++
 			}
 		}
 		t.updateReady(now, s)
 	}
 	t.restoredSteps = nil
+	if requeued > 0 {
+		t.cfg.Log.Emit(event.RestoredTasksRequeued, "term", t.cfg.Term, "tasks", requeued, "lapsed", t.lapsedAgents,
+			"wait_ms", now.Sub(t.createdAt).Milliseconds())
+	}
 }
 
 // LimitPreviousLeases records that the runs of the previous term's agents are known to
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -96,6 +96,7 @@
 	// expired. An agent is removed at that time, or with its first full report.
 	unconfirmedAgents  map[string]time.Time
 	unconfirmedExpired bool           // one of them was removed without a report
+	lapsedAgents       int            // those that were removed without a report
 	restoredSteps      []*stepState   // steps with tasks that may have runs at unconfirmedAgents
 	dirtyJobs          []*jobState    // jobs for TakeRecords
 	changedJobs        []*jobState    // jobs for Updates
@@ -119,6 +120,7 @@
 	termConfirmedBy        Confirmation
 	awaitsTermConfirmation bool // the expiry of a session waits for ConfirmTerm
 	startTracker           startTracker
+	idle                   idleTracker
 	shares                 *fairness.Shares
 	quotas                 quotas
 	pairings               *interference.Pairings
--- a/process/schedule/tick.go
+++ b/process/schedule/tick.go
@@ -5,8 +5,8 @@
 // passInterval is the longest time between two attempts to place waiting tasks.
 const passInterval = 100 * time.Millisecond
 
-// Tick expires sessions, creates occurrences, requeues restored tasks and verifies
-// starts, as they are due. The leader calls it every few tens of milliseconds.
+// Tick expires sessions, creates occurrences, requeues restored tasks, verifies starts and
+// logs idle tasks, as they are due. The leader calls it every few tens of milliseconds.
 func (t *Table) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -27,6 +27,7 @@
 		t.requeueRestored(now)
 	}
 	t.verifyStarts(now)
+	t.scanIdle(now)
 	if now.Sub(t.passForcedAt) >= passInterval {
 		// Capacity may become available without any report: after the pause that follows
 		// a refusal, or when the predicted load of a serving task falls.
@@ -61,17 +62,19 @@
 	return t.awaitsTermConfirmation
 }
 
-// Load contains the numbers of jobs, attached agents, ready steps and runs in a table, and
-// of the agents of the previous term that have not reported and may still have runs.
+// Load contains the numbers of jobs, attached agents, ready steps and runs in a table, of the
+// agents of the previous term that have not reported and may still have runs, and of the idle
+// long-running tasks at the latest scan.
 type Load struct {
 	Jobs, Agents, Ready, Runs, UnconfirmedAgents int
+	Idle                                         IdleCounts
 }
 
 // Load returns the current numbers.
 func (t *Table) Load() Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := Load{Jobs: len(t.jobs), Agents: len(t.agents), Ready: len(t.ready), UnconfirmedAgents: len(t.unconfirmedAgents)}
+	l := Load{Jobs: len(t.jobs), Agents: len(t.agents), Ready: len(t.ready), UnconfirmedAgents: len(t.unconfirmedAgents), Idle: t.idle.counts}
 	for _, a := range t.agents {
 		l.Runs += len(a.runs)
 	}
