standin/worker: let a worker drain and leave

Cause: a stand-in worker could crash and restart, but not leave with a notice, so no test of the suite covered a machine that is taken away as planned. Change: Drain announces the draining state at once; Leave ends all tasks, refuses calls and withdraws the announcements.

--- a/standin/worker/wire.go
+++ b/standin/worker/wire.go
@@ -160,8 +160,20 @@
 // DefaultAnnounceInterval is the time between two announcements unless Config has another.
 const DefaultAnnounceInterval = 300 * time.Millisecond
 
+// announcedState returns the state that the worker announces and, if it drains, the time until it
+// leaves. left is set after Leave.
+func (w *Worker) announcedState() (state string, remaining time.Duration, left bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.leavesAt.IsZero() {
+		return "ready", 0, w.withdrawn
+	}
+	return "draining", max(w.leavesAt.Sub(w.config.Clock.Now()), 0), w.withdrawn
+}
+
 // Announce announces the worker to the registry of its agent, a host:port, every
-// Config.AnnounceInterval until ctx ends, in the form that the platform's workers use.
+// Config.AnnounceInterval and after a change of its state, in the form that the platform's workers
+// use, until ctx ends or the worker has left, which it announces as well.
 func (w *Worker) Announce(ctx context.Context, registry, service string) {
 	client := &fasthttp.Client{}
 	ticker := w.config.Clock.NewTicker(w.config.AnnounceInterval)
@@ -172,8 +184,9 @@
 		if startedMs != life {
 			life, sequence = startedMs, 1
 		}
+		state, remaining, left := w.announcedState()
 		body, err := json.Marshal(map[string]any{
-			"service": service, "addr": w.Address(), "state": "ready", "sequence": sequence, "born": startedMs, "labels": []string{"a", "r1"},
+			"service": service, "addr": w.Address(), "state": state, "remaining_ms": remaining.Milliseconds(), "sequence": sequence, "born": startedMs, "labels": []string{"a", "r1"},
 			"capacity": map[string]int64{"cpu": capacity.MilliCPU, "mem_mb": capacity.MemoryMB, "gpu": capacity.Accelerators},
 		})
 		if err != nil {
@@ -183,15 +196,23 @@
 		req.SetRequestURI("http://" + registry + "/-/instances/" + w.config.Name)
 		req.Header.SetMethod(fasthttp.MethodPut)
 		req.SetBody(body)
+		if left {
+			req.Header.SetMethod(fasthttp.MethodDelete)
+			req.ResetBody()
+		}
 		if w.isUp() {
-			_ = client.DoTimeout(req, resp, time.Second) // the next tick repeats a failed announcement
+			err = client.DoTimeout(req, resp, time.Second) // the next tick repeats a failed announcement
 		}
 		fasthttp.ReleaseRequest(req)
 		fasthttp.ReleaseResponse(resp)
+		if left && err == nil {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
+		case <-w.announceNow:
 		}
 	}
 }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -54,6 +54,8 @@
 
 	faults callFaults
 	late   sync.WaitGroup // calls that are executed late
+	// announceNow has an element while Announce is to call the registry at once.
+	announceNow chan struct{}
 
 	mu         lockrank.Mutex // guards the fields below
 	clock      skewedClock
@@ -77,6 +79,8 @@
 	overcommits   overcommits
 	failAll       bool
 	killed        bool
+	leavesAt      time.Time // zero: the worker does not drain
+	withdrawn     bool      // the worker has left
 }
 
 // overcommits counts the starts after which the running tasks exceeded the capacity.
@@ -90,7 +94,7 @@
 		faults: callFaults{mu: lockrank.NewMutex(standin.Rank)},
 		mu:     lockrank.NewMutex(standin.Rank), running: make(map[job.TaskID]*task),
 		highestRun: make(map[job.TaskID]uint32), due: deadline.NewQueue[job.RunKey](),
-		startedMs: config.Clock.Now().UnixMilli(), nextEnd: make(chan struct{}),
+		startedMs: config.Clock.Now().UnixMilli(), nextEnd: make(chan struct{}), announceNow: make(chan struct{}, 1),
 	}
 	server, err := serve.Start(config.Address, 0, w.handle)
 	if err != nil {
@@ -158,6 +162,31 @@
 	w.endAll(now)
 }
 
+// Drain announces that the worker drains and leaves after notice. It goes on until Leave.
+func (w *Worker) Drain(notice time.Duration) {
+	w.mu.Lock()
+	w.leavesAt = w.config.Clock.Now().Add(notice)
+	w.mu.Unlock()
+	w.triggerAnnouncement()
+}
+
+// Leave is Kill of a worker that also withdraws its announcements, as one that is taken away.
+func (w *Worker) Leave() {
+	w.Kill()
+	w.mu.Lock()
+	w.withdrawn = true
+	w.mu.Unlock()
+	w.triggerAnnouncement()
+}
+
+// triggerAnnouncement makes Announce call the registry at once.
+func (w *Worker) triggerAnnouncement() {
+	select {
+	case w.announceNow <- struct{}{}:
+	default: // an earlier call is due
+	}
+}
+
 // endAll ends all tasks without a checkpoint and forgets all ends. The caller holds the lock.
 func (w *Worker) endAll(now time.Time) {
 	for _, t := range w.running {
