--- a/integration/deployment_test.go
+++ b/integration/deployment_test.go
@@ -95,6 +95,9 @@
 	client      *fasthttp.Client
 	calls       *callLog
 	workerLinks bool
+	entryCount  int
+	lease       settings.Lease // of all processes
+	callTimeout time.Duration
 }
 
 // storeID is the name of the store in link keys.
@@ -123,7 +126,11 @@
 	t.Cleanup(func() { <-deploymentTokens })
 	d := &deployment{
 		t: t, dir: logFolder(t), links: map[linkKey]*link{}, proxyServer: newProxyServer(),
-		client: &fasthttp.Client{MaxConnsPerHost: 1024}, calls: &callLog{},
+		client: &fasthttp.Client{MaxConnsPerHost: 1024}, calls: &callLog{}, callTimeout: callTimeout, entryCount: entryCount,
+		lease: settings.Lease{
+			TaskMs: taskLease.Milliseconds(), HeartbeatMs: heartbeatInterval.Milliseconds(),
+			LeaderMs: leaderTimeout.Milliseconds(), OutageMs: maxStoreOutage.Milliseconds(), WorkerMs: taskLease.Milliseconds(),
+		},
 	}
 	for _, apply := range options {
 		apply(d)
--- a/integration/plan_test.go
+++ b/integration/plan_test.go
@@ -24,7 +24,7 @@
 // plan selects all addresses and puts a link between any two processes that connect.
 func (d *deployment) plan() {
 	regions := []string{"tunis-north", "sfax-south"}
-	for i := range entryCount {
+	for i := range d.entryCount {
 		c := d.newCore(settings.RoleEntry, fmt.Sprintf("entry-%d", i), regions[i%2])
 		d.entries = append(d.entries, c)
 	}
@@ -76,11 +76,8 @@
 	s.Process.ID, s.Process.Region, s.Process.FailureDomain = id, region, region+"-a"
 	s.Process.Key = processKey
 	s.Process.Listen, s.HTTP.Listen = freeAddress(d.t), freeAddress(d.t)
-	s.Lease = settings.Lease{
-		TaskMs: taskLease.Milliseconds(), HeartbeatMs: heartbeatInterval.Milliseconds(),
-		LeaderMs: leaderTimeout.Milliseconds(), OutageMs: maxStoreOutage.Milliseconds(), WorkerMs: taskLease.Milliseconds(),
-	}
-	s.Limits.CallTimeoutMs = callTimeout.Milliseconds()
+	s.Lease = d.lease
+	s.Limits.CallTimeoutMs = d.callTimeout.Milliseconds()
 	s.Network.AddressMap = map[string]string{}
 	s.Log.Level = settings.LevelDebug
 	return &core{settings: s}
--- a/integration/standin_test.go
+++ b/integration/standin_test.go
@@ -171,6 +171,12 @@
 			w.Restart(capacity, restartTime)
 			return true
 		},
+		"drain": func(a string) any { w.Drain(time.Duration(parseInt(a)) * time.Millisecond); return true },
+		"leave": func(string) any {
+			t.Close()
+			w.Leave()
+			return true
+		},
 		"kill": func(string) any {
 			t.Close()
 			w.Kill()
