--- a/connection/message/runs.go
+++ b/connection/message/runs.go
@@ -102,10 +102,13 @@
 	Term uint64 `msgpack:"t"` // the leader's; an agent follows the highest that it has seen
 	// LeaseMs is how long the agent may keep its runs alive, in milliseconds since
 	// it sent the report; 0: the leader grants no lease.
-	LeaseMs  int64  `msgpack:"l"`
-	NeedFull bool   `msgpack:"n,omitempty"` // requests a new session that begins with a full report
-	Recorded uint64 `msgpack:"r,omitempty"` // serial up to which all ends of the session are durable
-	Leader   string `msgpack:"a,omitempty"` // address of the leader, if the replying process does not lead
+	LeaseMs int64 `msgpack:"l"`
+	// LeasePending: the leader has accepted the report and grants a lease once the store contains
+	// the agent. The agent keeps its session and reports again.
+	LeasePending bool   `msgpack:"p,omitempty"`
+	NeedFull     bool   `msgpack:"n,omitempty"` // requests a new session that begins with a full report
+	Recorded     uint64 `msgpack:"r,omitempty"` // serial up to which all ends of the session are durable
+	Leader       string `msgpack:"a,omitempty"` // address of the leader, if the replying process does not lead
 	// Entries are the addresses of entries that the agent can ask for the leader;
 	// empty if they have not changed.
 	Entries       []string `msgpack:"e,omitempty"`
--- /dev/null
+++ b/process/lead/agent_leases.go
@@ -0,0 +1,62 @@
+package lead
+
+import (
+	"time"
+
+	"camphorhead.example/camphorhead/connection/body"
+	"camphorhead.example/camphorhead/process/schedule"
+)
+
+const agentsKey = "leader/agents" // key of schedule.AgentLeases
+
+// unknownAgents stands for all agents if the list of agents cannot be decoded. No agent has
+// this ID, so the leader waits until the leases of all agents have ended, and the next one
+// too if this one ends before that.
+const unknownAgents = "unknown agents"
+
+// decodeAgentLeases decodes the value of agentsKey. Versions before 2026-12-06 wrote the ids of
+// the agents alone; they count as a list of an unknown term.
+func decodeAgentLeases(value []byte) (schedule.AgentLeases, error) {
+	var list schedule.AgentLeases
+	err := body.Unmarshal(value, &list)
+	if err == nil {
+		return list, nil
+	}
+	var ids []string
+	if body.Unmarshal(value, &ids) != nil {
+		return schedule.AgentLeases{}, err
+	}
+	for _, id := range ids {
+		list.Agents = append(list.Agents, schedule.AgentLease{Agent: id})
+	}
+	return list, nil
+}
+
+// earlierLeases returns when the leases of the agents in the list that the store contained at the
+// given time are known to have ended. previous is the term before the leader's own.
+//
+// Without the list, each leader of an earlier term may grant leases until Timing.Outage after the
+// claim of the leader's own term. The list of an open table excludes that for the terms before it,
+// that of a closed one for its own term too, and a withheld lease for the terms after it as well.
+func earlierLeases(now time.Time, list *schedule.AgentLeases, previous uint64, t *Timing) map[string]schedule.EarlierLease {
+	longest := schedule.SafeLeaseEnd(now.Add(t.Outage+t.Lease), t.Lease)
+	leases := make(map[string]schedule.EarlierLease, len(list.Agents))
+	for _, a := range list.Agents {
+		remaining := time.Duration(a.EndsInMs) * time.Millisecond
+		recorded := now.Add(remaining)
+		lease := schedule.EarlierLease{End: longest, Earliest: longest, Withheld: a.Withheld}
+		switch {
+		case a.Withheld, list.Closed && list.Term == previous:
+			lease.End, lease.Earliest = recorded, recorded
+		case list.Term == previous:
+			lease.Earliest = recorded // only the leader of the previous term may have granted more
+			// An agent that was missing there is likely to stay away. Leaders that fail within a
+			// second each would never mark it, and the wait would begin anew with each of them.
+			lease.Withheld = a.EndsInMs > 0
+		case list.Closed && list.Term+1 == previous:
+			lease.Earliest = recorded // as above
+		}
+		leases[a.Agent] = lease
+	}
+	return leases
+}
--- a/process/lead/commits.go
+++ b/process/lead/commits.go
@@ -31,7 +31,7 @@
 	if !intervalPassed && (dirty < backlogThreshold || isPending) {
 		return
 	}
-	agentsChanged := l.table.DurableAgentsChanged()
+	agentsChanged := l.table.AgentLeasesChanged(now)
 	if isPending || heartbeatDue || agentsChanged || dirty > 0 || l.table.NeedsTermConfirmation() {
 		l.submitOnce(&l.committing, l.write)
 	}
@@ -67,14 +67,16 @@
 
 // plan builds the next transaction. Records that do not fit stay dirty.
 func (l *leaderTerm) plan() (*pendingBatch, error) {
-	agents, changed := l.table.TakeDurableAgents()
+	pending := &pendingBatch{heartbeat: l.heartbeat.Load() + 1, resigns: l.resigning.Load()}
+	if pending.resigns {
+		l.table.Close()
+	}
+	agents, changed := l.table.TakeAgentLeases(l.node.cfg.Clock.Now())
 	l.mu.Lock()
 	heartbeatRevision, agentsRevision := l.mu.heartbeatRevision, l.mu.agentsRevision
 	l.mu.Unlock()
-	pending := &pendingBatch{heartbeat: l.heartbeat.Load() + 1}
-	pending.resigns = l.resigning.Load()
 	extra, err := term.HeartbeatTxn(term.Heartbeat{
-		Term: l.number, Number: pending.heartbeat, Resigned: pending.resigns, Settled: l.table.Settled(),
+		Term: l.number, Number: pending.heartbeat, Resigned: pending.resigns,
 	}, heartbeatRevision)
 	if err != nil {
 		return nil, err
@@ -84,7 +86,7 @@
 		if err != nil {
 			return nil, err
 		}
-		pending.agents = agents
+		pending.agents = &agents
 		extra.Expect = append(extra.Expect, platform.Expectation{Key: agentsKey, Revision: agentsRevision})
 		extra.Puts = append(extra.Puts, platform.Put{Key: agentsKey, Value: value})
 	}
@@ -123,7 +125,7 @@
 	l.table.MarkCommitted(pending.batch.Records)
 	l.table.ConfirmTerm(sent, schedule.ConfirmedByStore)
 	if pending.agents != nil {
-		l.table.SetRegistered(pending.agents)
+		l.table.SetRegistered(*pending.agents)
 	}
 	l.heartbeat.Store(pending.heartbeat)
 	l.mu.Lock()
--- a/process/lead/followers.go
+++ b/process/lead/followers.go
@@ -117,7 +117,7 @@
 		return message.ReportReply{Term: l.number}
 	}
 	reply, sendEntries := l.acceptReport(conn, r)
-	if reply.LeaseMs == 0 {
+	if reply.LeaseMs == 0 && !reply.LeasePending {
 		return reply
 	}
 	reply.ConfigVersion = l.node.cfg.ConfigVersion()
@@ -146,7 +146,7 @@
 		return message.ReportReply{Term: l.number, NeedFull: true}, false
 	}
 	reply = l.table.ApplyReport(now, r)
-	if reply.LeaseMs == 0 {
+	if reply.LeaseMs == 0 && !reply.LeasePending {
 		return reply, false
 	}
 	l.mu.sessions[r.Agent] = agentSession{number: r.Session, conn: conn}
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"camphorhead.example/camphorhead/connection/body"
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
 	"camphorhead.example/camphorhead/process/event"
@@ -18,13 +17,6 @@
 	"camphorhead.example/camphorhead/request/interference"
 )
 
-const agentsKey = "leader/agents" // key of the list of agents that may have runs
-
-// unknownAgents stands for all agents if the list of agents cannot be decoded. No agent has
-// this ID, so the leader waits until the leases of all agents have ended, and the next one
-// too if this one ends before that.
-const unknownAgents = "unknown agents"
-
 const (
 	inboxInterval = time.Second     // between polls for jobs and cancellations of which no notice arrived
 	purgeInterval = 5 * time.Second // between deletions of old records
@@ -55,7 +47,7 @@
 	degraded      atomic.Bool
 	agentsReached atomic.Bool   // at least half of the known agents were once reachable in this term
 	resigning     atomic.Bool   // the term is being resigned: isolated from agents and entries
-	previousEnded atomic.Bool   // no leader of an earlier term grants leases any more
+	previousEnded atomic.Bool   // the leader of the previous term grants leases no more
 	heartbeat     atomic.Uint64 // number of the last one that the store has confirmed
 
 	mu termState
@@ -85,8 +77,8 @@
 	heartbeatRevision uint64    // of term.HeartbeatKey
 	agentsRevision    uint64
 	pending           *pendingBatch // nil: no outcome is uncertain
-	// previous is the view before the claim, whose leader may still grant leases, as may those
-	// before it unless the view is settled. It never changes and is read without the lock.
+	// previous is the view before the claim, whose leader may still grant leases. It never changes
+	// and is read without the lock.
 	previous term.View
 }
 
@@ -106,7 +98,7 @@
 // pendingBatch is a transaction that is being committed or whose outcome is uncertain.
 type pendingBatch struct {
 	batch     *jobstore.Batch
-	agents    []string // nil unless the batch writes the list of agents
+	agents    *schedule.AgentLeases // nil unless the batch writes the list of agents
 	heartbeat uint64
 	resigns   bool // the heartbeat gives the term up
 }
@@ -149,38 +141,29 @@
 	if err != nil {
 		return err
 	}
-	var agents []string
+	var list schedule.AgentLeases
 	if kv.Revision != 0 {
-		if err := body.Unmarshal(kv.Value, &agents); err != nil {
+		if list, err = decodeAgentLeases(kv.Value); err != nil {
 			l.node.cfg.Log.Emit(event.RecordUnreadable, "subject", agentsKey)
-			agents = []string{unknownAgents}
+			list.Agents = []schedule.AgentLease{{Agent: unknownAgents}}
 		}
 	}
 	l.mu.inboxRevision, l.mu.agentsRevision = revision, kv.Revision
 	unfinished, ended := jobstore.ConvertLoaded(jobs)
 	now := l.node.cfg.Clock.Now()
-	leaseEnd, reason := now.Add(l.node.cfg.Timing.Outage+l.node.cfg.Timing.Lease), "an earlier leader may still grant leases"
-	if l.mu.previous.Holder.ID == l.node.cfg.Self().ID {
-		// The previous leader was a process of this entry and grants nothing any more.
-		if l.mu.previous.Settled() {
-			leaseEnd, reason = now.Add(l.node.cfg.Timing.Lease), "this entry held the previous term"
-		} else {
-			reason = "this entry held the previous term, but a leader before that may still grant leases"
-		}
-	}
-	until := schedule.SafeLeaseEnd(leaseEnd, l.node.cfg.Timing.Lease)
-	unconfirmed := make(map[string]time.Time, len(agents))
-	for _, id := range agents {
-		unconfirmed[id] = until
-	}
-	l.table.Restore(now, unfinished, unconfirmed)
+	leases := earlierLeases(now, &list, l.number-1, &l.node.cfg.Timing)
+	l.table.Restore(now, unfinished, leases)
 	l.table.RestoreEnded(ended)
-	if l.previousEnded.Load() {
-		l.shortenLeases() // the follower came before its agents were in the table
-	}
-	wait := time.Duration(0)
-	if len(agents) > 0 {
-		wait = until.Sub(now)
+	wait, reason := longestWait(now, leases), "earlier leaders may still grant leases"
+	switch {
+	case list.Closed && list.Term == l.number-1:
+		reason = "the previous leader has handed over"
+	case l.mu.previous.Holder.ID == l.node.cfg.Self().ID:
+		// The previous leader was a process of this entry and grants nothing any more.
+		reason = "this entry held the previous term"
+		l.shortenLeases(reason)
+	case l.previousEnded.Load():
+		l.shortenLeases(reasonFollows) // the follower came before its agents were in the table
 	}
 	load := l.table.Load()
 	l.node.cfg.Log.Emit(event.TermBegun, "term", l.number, "jobs", load.Jobs, "unproven", load.UnconfirmedAgents,
@@ -188,25 +171,35 @@
 	return nil
 }
 
+// longestWait returns the time until the last of the leases has ended.
+func longestWait(now time.Time, leases map[string]schedule.EarlierLease) time.Duration {
+	longest := time.Duration(0)
+	for _, lease := range leases {
+		longest = max(longest, lease.End.Sub(now))
+	}
+	return longest
+}
+
+const reasonFollows = "the holder of the previous term follows"
+
 // recordFollower shortens the wait for agents of earlier terms if the follower held the
-// previous one and knows this one: it grants no leases any more. The leaders before it must not
-// either.
+// previous one and knows this one: it grants no leases any more.
 func (l *leaderTerm) recordFollower(f *message.Follow) {
-	if f.Entry.ID != l.mu.previous.Holder.ID || f.Term < l.number || !l.mu.previous.Settled() {
+	if f.Entry.ID != l.mu.previous.Holder.ID || f.Term < l.number {
 		return
 	}
 	l.previousEnded.Store(true)
-	l.shortenLeases()
+	l.shortenLeases(reasonFollows)
 }
 
-// shortenLeases shortens the wait for agents of earlier terms, whose leaders grant no leases
-// any more: those leases end at most Timing.Lease from now.
-func (l *leaderTerm) shortenLeases() {
+// shortenLeases shortens the wait for agents of earlier terms, as the leader of the previous term
+// grants no leases any more: its leases end at most Timing.Lease from now.
+func (l *leaderTerm) shortenLeases(reason string) {
 	now := l.node.cfg.Clock.Now()
 	until := schedule.SafeLeaseEnd(now.Add(l.node.cfg.Timing.Lease), l.node.cfg.Timing.Lease)
-	if l.table.LimitPreviousLeases(until) {
+	if l.table.LimitEarlierLeases(until) {
 		l.node.cfg.Log.Emit(event.EarlierLeasesLimited, "term", l.number, "wait_ms", until.Sub(now).Milliseconds(),
-			"reason", "the holder of the previous term follows")
+			"reason", reason)
 	}
 }
 
@@ -362,16 +355,13 @@
 	}
 }
 
-// resign gives the term up: it commits the changed records until ctx ends or the store fails,
-// steps down, and notifies the followers of that and of the successor.
+// resign gives the term up: it commits the changed records and then the time by which its leases
+// end, until ctx ends or the store fails, steps down, and notifies the followers of that and of
+// the successor.
 func (l *leaderTerm) resign(ctx context.Context) {
-	for ctx.Err() == nil && l.table.DirtyCount() > 0 && !l.degraded.Load() {
-		l.commit()
-		select {
-		case <-ctx.Done():
-		case <-l.node.cfg.Clock.After(l.node.cfg.Timing.CommitInterval):
-		}
-	}
+	l.commitUntil(ctx, func() bool { return l.table.DirtyCount() == 0 })
+	l.table.Close()
+	l.commitUntil(ctx, l.table.ClosedDurably)
 	l.node.stepDown(l, "process stops")
 	last := message.Update{Term: l.number, Resigned: true, Successor: l.successor()}
 	for _, conn := range l.followerConns() {
@@ -379,6 +369,14 @@
 	}
 }
 
+// commitUntil commits until done, until ctx ends or while the store serves this process.
+func (l *leaderTerm) commitUntil(ctx context.Context, done func() bool) {
+	for ctx.Err() == nil && !done() && !l.degraded.Load() {
+		l.commit()
+		l.node.sleep(ctx, l.node.cfg.Timing.CommitInterval)
+	}
+}
+
 // successor returns the id of the follower with the shortest claim delay, of equal ones the
 // lowest; empty if no follower may claim the next term.
 func (l *leaderTerm) successor() string {
--- a/process/lead/sessions_test.go
+++ b/process/lead/sessions_test.go
@@ -71,7 +71,7 @@
 	n.cfg.Profile = func(string) (profile.Profile, bool) { return profile.Profile{Service: "s", MaxAttempts: 3}, true }
 	n.cfg.Teams = func() map[string]profile.Team { return nil }
 	l := claimTerm(t, n)
-	l.table.SetRegistered([]string{testAgent})
+	l.table.SetRegistered(schedule.AgentLeases{Agents: []schedule.AgentLease{{Agent: testAgent}}})
 	return l
 }
 
@@ -95,7 +95,7 @@
 	require.NotZero(t, old.report(t, 1, 1, true).LeaseMs)
 	require.NotZero(t, current.report(t, 2, 1, true).LeaseMs)
 	require.Zero(t, old.report(t, 1, 2, false).LeaseMs)
-	l.table.SetRegistered([]string{testAgent})
+	l.table.SetRegistered(schedule.AgentLeases{Agents: []schedule.AgentLease{{Agent: testAgent}}})
 	l.acceptJob(t, "j")
 	select {
 	case o := <-current.orders:
--- a/process/runs/leader_client.go
+++ b/process/runs/leader_client.go
@@ -20,6 +20,9 @@
 	// reportSpacing is the minimum time between two reports, so that ends which
 	// follow each other closely share a report.
 	reportSpacing = 10 * time.Millisecond
+	// pendingLeaseInterval is the time between two reports while the leader grants no lease yet:
+	// about that of two of its transactions.
+	pendingLeaseInterval = 100 * time.Millisecond
 )
 
 // leaderClient finds the leader, keeps the agent's session with it and sends reports.
@@ -42,6 +45,7 @@
 	nextEntry       int       // index of the entry to query next, modulo len(entries)
 	searchedAt      time.Time // when the latest search began; zero: search at the next tick
 	sentAt          time.Time
+	leasePending    bool // the leader has accepted the latest report, and its lease is pending
 	droppedAt       time.Time
 	droppedAddress  string
 	conn            *peer.Conn       // of the session; nil until its first report
@@ -87,7 +91,7 @@
 // and searches for a leader every findInterval while none is known.
 func (l *leaderClient) tick(_ context.Context, now time.Time) {
 	l.mu.Lock()
-	due := now.Sub(l.sentAt) >= l.node.cfg.Timing.ReportInterval
+	due := l.isReportDue(now)
 	address, closed := l.address, l.conn != nil && l.conn.Closed()
 	l.mu.Unlock()
 	if closed {
@@ -113,6 +117,15 @@
 	}
 }
 
+// isReportDue reports whether the time between two reports is over. The caller holds mu.
+func (l *leaderClient) isReportDue(now time.Time) bool {
+	interval := l.node.cfg.Timing.ReportInterval
+	if l.leasePending {
+		interval = min(interval, pendingLeaseInterval)
+	}
+	return now.Sub(l.sentAt) >= interval
+}
+
 // maxConcurrentQueries bounds the entries that are queried for the leader
 // concurrently, so that one that does not reply does not delay the search.
 const maxConcurrentQueries = 3
@@ -198,7 +211,7 @@
 func (l *leaderClient) beginSession() {
 	l.session++
 	l.sequence, l.lastSerial, l.nextFull = 0, 0, true
-	l.conn, l.acceptedSummary = nil, nil
+	l.conn, l.acceptedSummary, l.leasePending = nil, nil, false
 }
 
 // renewSession begins a session with the same leader: its full report lists exactly the runs
@@ -335,10 +348,12 @@
 func (l *leaderClient) applyReply(sent time.Time, address string, r *message.Report, reply *message.ReportReply) {
 	l.mu.Lock()
 	stale := r.Session != l.session || reply.Term < l.term
-	if !stale && reply.LeaseMs > 0 && r.Summary != nil {
+	accepted := reply.LeaseMs > 0 || reply.LeasePending
+	if !stale && accepted && r.Summary != nil {
 		l.acceptedSummary = r.Summary
 	}
 	if !stale {
+		l.leasePending = reply.LeasePending
 		l.term = reply.Term
 		l.updateEntries(reply.Entries)
 	}
@@ -349,14 +364,16 @@
 		l.dropLeader(address, "the reply belongs to an earlier session or term")
 	case reply.NeedFull:
 		l.renewSession("the leader has no record of the session")
-	case reply.LeaseMs == 0 && leader.Address != "" && leader.Address != address:
+	case !accepted && leader.Address != "" && leader.Address != address:
 		l.dropLeader(address, "the process does not lead")
 		l.followLeader(leader, "answer", address)
-	case reply.LeaseMs == 0:
+	case !accepted:
 		l.dropLeader(address, "the process does not lead")
 	default:
 		l.node.markRecorded(reply.Recorded, r.Session)
-		l.node.extendGrant(sent.Add(time.Duration(reply.LeaseMs) * time.Millisecond))
+		if !reply.LeasePending {
+			l.node.extendGrant(sent.Add(time.Duration(reply.LeaseMs) * time.Millisecond))
+		}
 		l.reportAccepted(address, r, reply)
 	}
 }
--- /dev/null
+++ b/process/schedule/agent_leases.go
@@ -0,0 +1,140 @@
+package schedule
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// AgentLeases lists the agents that may have runs, for the leader of the next term: it waits for
+// them or for the end of their leases before it places tasks of earlier terms.
+type AgentLeases struct {
+	Term uint64 `msgpack:"t"` // of the leader that made the list
+	// Closed: that leader grants no lease any more.
+	Closed bool         `msgpack:"c,omitempty"`
+	Agents []AgentLease `msgpack:"a"` // by id
+}
+
+// AgentLease is an agent in AgentLeases.
+type AgentLease struct {
+	Agent string `msgpack:"i"`
+	// EndsInMs is the time in milliseconds, from when the list was made, by which leases that had
+	// been granted until then are known to have ended. It is 0 for an agent that has reported to
+	// the leader of an open list: no earlier leader's grant counts any more.
+	EndsInMs int64 `msgpack:"e,omitempty"`
+	// Withheld: the agent is missing, and neither the leader that made the list nor a later one
+	// grants it a lease before the store contains a list of its own term without this mark.
+	Withheld bool `msgpack:"w,omitempty"`
+}
+
+// sameAgents reports whether two lists differ in EndsInMs at most.
+func (l *AgentLeases) sameAgents(o *AgentLeases) bool {
+	return l.Term == o.Term && l.Closed == o.Closed && slices.EqualFunc(l.Agents, o.Agents, func(a, b AgentLease) bool {
+		return a.Agent == b.Agent && a.Withheld == b.Withheld && (a.EndsInMs == 0) == (b.EndsInMs == 0)
+	})
+}
+
+const (
+	// leasesRefresh is the time after which the times in the stored list are written again, along
+	// with another transaction.
+	leasesRefresh = 250 * time.Millisecond
+	// withholdDivisor gives the part of a lease after which an agent that has not reported to a
+	// new leader counts as missing. Most agents report within a second of a change.
+	withholdDivisor = 4
+)
+
+// SetRegistered records that the store contains a list of TakeAgentLeases. Its agents get leases
+// and new runs, except those whose leases are withheld.
+func (t *Table) SetRegistered(list AgentLeases) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.storedLeases, t.registered, t.needsPass = list, map[string]bool{}, true
+	for _, a := range list.Agents {
+		if !a.Withheld {
+			t.registered[a.Agent] = true
+			delete(t.withheld, a.Agent)
+		}
+	}
+}
+
+// AgentLeasesChanged reports whether the store must contain another list than that of the last
+// SetRegistered.
+func (t *Table) AgentLeasesChanged(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := t.agentLeases(now)
+	return !list.sameAgents(&t.storedLeases)
+}
+
+// TakeAgentLeases returns the list that the store must contain. If changed is set, the caller
+// writes it and then calls SetRegistered; until then it is not known which list the store
+// contains. From now on agents that are not in the list get no new
+// runs, and those whose leases are withheld no leases either, whether the write succeeds or not:
+// the next leader relies on that.
+func (t *Table) TakeAgentLeases(now time.Time) (list AgentLeases, changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list = t.agentLeases(now)
+	refresh := len(t.unconfirmedAgents) > 0 && now.Sub(t.leasesTakenAt) >= leasesRefresh
+	if !refresh && list.sameAgents(&t.storedLeases) {
+		return list, false
+	}
+	t.leasesTakenAt, t.storedLeases = now, AgentLeases{}
+	may := map[string]bool{}
+	for _, a := range list.Agents {
+		may[a.Agent] = !a.Withheld
+		if a.Withheld {
+			t.withheld[a.Agent] = true
+		}
+	}
+	for id := range t.registered {
+		if !may[id] {
+			delete(t.registered, id)
+		}
+	}
+	return list, true
+}
+
+// Close ends the grants of leases and the orders of this table, so that the list of agents tells
+// the next leader when the leases end.
+func (t *Table) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+}
+
+// ClosedDurably reports whether the store is known to contain the list of a closed table.
+func (t *Table) ClosedDurably() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.storedLeases.Closed
+}
+
+// agentLeases returns the list of the agents that may have runs. An agent without runs whose
+// worker drains gets none, so the next leader need not wait for it, which may have left by then.
+func (t *Table) agentLeases(now time.Time) AgentLeases {
+	list := AgentLeases{Term: t.cfg.Term, Closed: t.closed}
+	for id, a := range t.agents {
+		if a.worker.Draining && len(a.runs) == 0 {
+			continue
+		}
+		lease := AgentLease{Agent: id}
+		if t.closed {
+			lease.EndsInMs = remainingMs(now, t.safeLeaseEnd(a.reportedAt))
+		}
+		list.Agents = append(list.Agents, lease)
+	}
+	missing := now.Sub(t.restoredAt) >= t.cfg.Lease/withholdDivisor
+	for id, lease := range t.unconfirmedAgents {
+		list.Agents = append(list.Agents, AgentLease{
+			Agent: id, EndsInMs: remainingMs(now, lease.End), Withheld: missing || t.withheld[id],
+		})
+	}
+	slices.SortFunc(list.Agents, func(a, b AgentLease) int { return strings.Compare(a.Agent, b.Agent) })
+	return list
+}
+
+// remainingMs returns the time until end, at least 1 ms.
+func remainingMs(now, end time.Time) int64 {
+	return max(int64((end.Sub(now)+time.Millisecond-1)/time.Millisecond), 1)
+}
--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -47,11 +47,16 @@
 // asks for a full report if this one is not of the agent's current session and cannot
 // begin a new one. An agent that begins one accepts no grant of an earlier term any more, so
 // it must have seen this term. A report that arrives after a later one of its session changes
-// nothing, and its reply grants no lease.
+// nothing, and its reply grants no lease, nor does that of a closed table. The lease of a missing
+// agent that has come back, and of one with runs that the store does not contain, is pending until
+// the store contains the agent: the next leader would not wait for it.
 func (t *Table) ApplyReport(now time.Time, r *message.Report) message.ReportReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	reply := message.ReportReply{Term: t.cfg.Term}
+	if t.closed {
+		return reply
+	}
 	a := t.agents[r.Agent]
 	if a == nil || a.session != r.Session {
 		behind := r.Term != 0 && r.Term < t.cfg.Term // the reply tells the agent the term
@@ -92,8 +97,12 @@
 		t.requeueRestored(now)
 	}
 	a.advanceDurableSerial()
-	reply.LeaseMs = t.cfg.Lease.Milliseconds()
 	reply.Recorded, a.sentSerial = a.durableSerial, a.durableSerial
+	if t.withheld[a.id] || !t.registered[a.id] && len(a.runs) > 0 {
+		reply.LeasePending = true
+		return reply
+	}
+	reply.LeaseMs = t.cfg.Lease.Milliseconds()
 	return reply
 }
 
--- a/process/schedule/durable_agents_test.go
+++ b/process/schedule/durable_agents_test.go
@@ -19,9 +19,9 @@
 	b.clock.Advance(2 * testLease)
 	b.report("b", message.Report{})
 	b.tick() // the session of a has expired
-	list, changed := b.table.TakeDurableAgents()
+	list, changed := b.table.TakeAgentLeases(b.now())
 	require.True(t, changed)
-	require.Equal(t, []string{"b"}, list)
+	require.Equal(t, []string{"b"}, list.ids())
 
 	b.report("a", message.Report{Session: 2, Full: true, Worker: workerInfo("a")})
 	def := definition("j", checkProfile, 2)
@@ -32,14 +32,14 @@
 	}
 
 	// The write failed: the store still has the previous list, which the table does not know.
-	list, changed = b.table.TakeDurableAgents()
+	list, changed = b.table.TakeAgentLeases(b.now())
 	require.True(t, changed)
-	require.Equal(t, []string{"a", "b"}, list)
+	require.Equal(t, []string{"a", "b"}, list.ids())
 	b.table.SetRegistered(list)
 	b.tick()
 	_, agent := onlyEntry(t, b.starts())
 	require.Equal(t, "a", agent)
-	_, changed = b.table.TakeDurableAgents()
+	_, changed = b.table.TakeAgentLeases(b.now())
 	require.False(t, changed)
 }
 
@@ -52,11 +52,11 @@
 	k, _ := onlyEntry(t, b.starts())
 	b.join("b")
 	durable := func() []string {
-		agents, changed := b.table.TakeDurableAgents()
+		agents, changed := b.table.TakeAgentLeases(b.now())
 		if changed {
 			b.table.SetRegistered(agents)
 		}
-		return agents
+		return agents.ids()
 	}
 	draining := workerInfo("a")
 	draining.Draining = true
--- a/process/schedule/idle_test.go
+++ b/process/schedule/idle_test.go
@@ -84,7 +84,7 @@
 func TestHeldTaskIsLogged(t *testing.T) {
 	b := newIdleBench(t, 2)
 	until := b.now().Add(10 * time.Second)
-	b.table.Restore(b.now(), []Restored{{Definition: longRunningJob("j", 1), Term: 1}}, map[string]time.Time{"a": until, "b": until, "c": until})
+	b.table.Restore(b.now(), []Restored{{Definition: longRunningJob("j", 1), Term: 1}}, leasesEnding(map[string]time.Time{"a": until, "b": until, "c": until}))
 	b.report("c", message.Report{Session: 1, Full: true, Worker: workerInfo("c")})
 	b.register()
 	b.run(idleLogDelay, "c")
@@ -113,7 +113,7 @@
 // that shows it.
 func TestHeldTaskThatThenWaitsIsLoggedTwice(t *testing.T) {
 	b := newIdleBench(t, 2)
-	b.table.Restore(b.now(), []Restored{{Definition: longRunningJob("j", 1), Term: 1}}, map[string]time.Time{"a": b.now().Add(5 * time.Second)})
+	b.table.Restore(b.now(), []Restored{{Definition: longRunningJob("j", 1), Term: 1}}, leasesEnding(map[string]time.Time{"a": b.now().Add(5 * time.Second)}))
 	b.run(5 * time.Second)
 	b.requireIdle(map[string]any{"state": "held"})
 	b.run(10 * time.Second)
@@ -123,7 +123,7 @@
 // Guards against a table without held tasks that logs the end of a wait.
 func TestEndOfWaitWithoutTasksIsNotLogged(t *testing.T) {
 	b := newIdleBench(t, 2)
-	b.table.Restore(b.now(), nil, map[string]time.Time{"a": b.now().Add(time.Second)})
+	b.table.Restore(b.now(), nil, leasesEnding(map[string]time.Time{"a": b.now().Add(time.Second)}))
 	b.run(2 * time.Second)
 	require.Contains(t, b.out.String(), "earlier_agent_lapsed")
 	require.Empty(t, b.lines("restored_tasks_requeued"))
--- a/process/schedule/jobs.go
+++ b/process/schedule/jobs.go
@@ -18,16 +18,19 @@
 }
 
 // Restore adds the unfinished jobs of earlier terms. agents are those that may have
-// runs of these jobs, each with the time by which its runs are known to have ended. No
-// task of these jobs is placed until each agent has reported or its time has passed.
-func (t *Table) Restore(now time.Time, jobs []Restored, agents map[string]time.Time) {
+// runs of these jobs. No task of these jobs is placed until each agent has reported or its
+// leases are known to have ended.
+func (t *Table) Restore(now time.Time, jobs []Restored, agents map[string]EarlierLease) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for agent, until := range agents {
-		t.unconfirmedAgents[agent] = until
-		t.registered[agent] = true
+	t.restoredAt = now
+	for agent, lease := range agents {
+		t.unconfirmedAgents[agent] = lease
+		t.registered[agent] = !lease.Withheld
+		if lease.Withheld {
+			t.withheld[agent] = true
+		}
 	}
-	t.storedAgentCount = len(agents)
 	for _, r := range jobs {
 		t.addJob(now, r, len(t.unconfirmedAgents) > 0)
 		if recent(now, r.Definition.AcceptedMs) {
--- a/process/schedule/long_running_test.go
+++ b/process/schedule/long_running_test.go
@@ -97,7 +97,7 @@
 	next.clock = b.clock
 	next.table = newTable(b.clock, 2)
 	until := b.now().Add(time.Minute)
-	next.table.Restore(b.now(), []Restored{{Definition: longRunning, Term: 1}, {Definition: urgent, Term: 1}}, map[string]time.Time{"a": until, "b": until})
+	next.table.Restore(b.now(), []Restored{{Definition: longRunning, Term: 1}, {Definition: urgent, Term: 1}}, leasesEnding(map[string]time.Time{"a": until, "b": until}))
 	for agent, k := range at {
 		next.report(agent, message.Report{
 			Session: 3, Full: true, Worker: workerInfo(agent), Running: []message.RunState{{Key: k, PacePct: fullPacePct, ProgressPct: 100}},
--- a/process/schedule/place.go
+++ b/process/schedule/place.go
@@ -55,6 +55,9 @@
 func (t *Table) Dispatch(now time.Time) []AgentOrders {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.closed {
+		return nil
+	}
 	if t.needsPass && len(t.ready) > 0 && !now.Before(t.passNotBefore) {
 		t.pass(now)
 	}
--- a/process/schedule/records_test.go
+++ b/process/schedule/records_test.go
@@ -65,7 +65,7 @@
 		require.Len(t, records, 1)
 
 		next := newTestbench(t, 2)
-		next.table.Restore(next.now(), []Restored{{Definition: def, Progress: &records[0].Progress, Term: 1}}, map[string]time.Time{"a": next.now().Add(time.Minute)})
+		next.table.Restore(next.now(), []Restored{{Definition: def, Progress: &records[0].Progress, Term: 1}}, leasesEnding(map[string]time.Time{"a": next.now().Add(time.Minute)}))
 		next.report("a", message.Report{
 			Session: 2, Full: true, Worker: workerInfo("a"), Ends: []message.RunEnd{runEnd(k, job.EndDone, 1)},
 		})
--- a/process/schedule/restore.go
+++ b/process/schedule/restore.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"camphorhead.example/camphorhead/process/event"
@@ -12,10 +11,10 @@
 // its leases are known to have expired. As for sessions, that takes a confirmation of the
 // term: a newer leader may have extended the leases.
 func (t *Table) requeueRestored(now time.Time) {
-	for agent, until := range t.unconfirmedAgents {
+	for agent, lease := range t.unconfirmedAgents {
 		switch {
-		case !now.After(until):
-		case t.termConfirmedAt.Before(until):
+		case !now.After(lease.End):
+		case t.termConfirmedAt.Before(lease.End):
 			t.awaitsTermConfirmation = true
 		default:
 			delete(t.unconfirmedAgents, agent)
@@ -50,84 +49,29 @@
 	}
 }
 
-// LimitPreviousLeases records that the runs of the previous term's agents are known to
-// have ended by until at the latest, and reports whether that shortens a wait.
-func (t *Table) LimitPreviousLeases(until time.Time) (shortened bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for agent, old := range t.unconfirmedAgents {
-		if until.Before(old) {
-			t.unconfirmedAgents[agent], shortened = until, true
-		}
-	}
-	return shortened
+// EarlierLease bounds the leases that an agent may hold from leaders of earlier terms.
+type EarlierLease struct {
+	End time.Time // by which they are known to have ended
+	// Earliest bounds End from below when LimitEarlierLeases shortens it; zero: nothing does.
+	Earliest time.Time
+	Withheld bool // as in AgentLease
 }
 
-// Settled reports whether no agent may have a run of an earlier term that is not in the
-// table. Once true after Restore, it stays true.
-func (t *Table) Settled() bool {
+// LimitEarlierLeases records that the leases which the leader of the previous term has granted
+// are known to have ended by until, and reports whether that shortens a wait. Those of leaders
+// before it may last longer.
+func (t *Table) LimitEarlierLeases(until time.Time) (shortened bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.unconfirmedAgents) == 0
-}
-
-// SetRegistered sets the agents that the store is known to contain. Only these get new
-// runs.
-func (t *Table) SetRegistered(agents []string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.registered = map[string]bool{}
-	t.needsPass = true
-	for _, id := range agents {
-		t.registered[id] = true
-	}
-	t.storedAgentCount = len(agents)
-}
-
-// DurableAgentsChanged reports whether the agents that the store must contain differ
-// from those of the last SetRegistered.
-func (t *Table) DurableAgentsChanged() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_, changed := t.durableAgents()
-	return changed
-}
-
-// TakeDurableAgents returns the agents that the store must contain. If changed is set,
-// the caller writes the list and then calls SetRegistered. Agents that are not in the
-// list get no new runs from now on, whether the write succeeds or not: the next leader
-// does not wait for agents that the store does not contain.
-func (t *Table) TakeDurableAgents() (agents []string, changed bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	agents, changed = t.durableAgents()
-	if changed {
-		for id := range t.registered {
-			if !slices.Contains(agents, id) {
-				delete(t.registered, id)
-			}
+	for agent, lease := range t.unconfirmedAgents {
+		end := until
+		if end.Before(lease.Earliest) {
+			end = lease.Earliest
 		}
-	}
-	return agents, changed
-}
-
-// durableAgents returns the sorted ids of the agents that may have runs, and whether they
-// differ from those in the store. An agent without runs whose worker drains gets none, so the
-// next leader need not wait for it, which may have left by then.
-func (t *Table) durableAgents() (agents []string, changed bool) {
-	agents = []string{}
-	for id, a := range t.agents {
-		if a.worker.Draining && len(a.runs) == 0 {
-			continue
+		if end.Before(lease.End) {
+			lease.End = end
+			t.unconfirmedAgents[agent], shortened = lease, true
 		}
-		agents = append(agents, id)
-		changed = changed || !t.registered[id]
 	}
-	for id := range t.unconfirmedAgents {
-		if t.agents[id] == nil {
-			agents = append(agents, id)
-		}
-	}
-	slices.Sort(agents)
-	return agents, changed || len(agents) != t.storedAgentCount
+	return shortened
 }
--- a/process/schedule/restore_test.go
+++ b/process/schedule/restore_test.go
@@ -18,7 +18,7 @@
 	b := newTestbench(t, 2)
 	def := definition("j", checkProfile, 1)
 	dead := b.now().Add(testLease)
-	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, map[string]time.Time{"a": dead, "b": dead})
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, leasesEnding(map[string]time.Time{"a": dead, "b": dead}))
 	b.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b")})
 	b.register()
 	require.Empty(t, b.starts())
@@ -75,7 +75,7 @@
 func TestRestoredTasksWaitForConfirmedTerm(t *testing.T) {
 	b := newTestbench(t, 2)
 	until := b.now().Add(testLease)
-	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, map[string]time.Time{"a": until, "b": until})
+	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, leasesEnding(map[string]time.Time{"a": until, "b": until}))
 	b.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b")})
 	b.register()
 	b.table.ConfirmTerm(b.now(), ConfirmedByStore)
@@ -96,14 +96,14 @@
 func TestFullReportMustKnowTheTerm(t *testing.T) {
 	b := newTestbench(t, 3)
 	until := b.now().Add(time.Minute)
-	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, map[string]time.Time{"a": until})
+	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, leasesEnding(map[string]time.Time{"a": until}))
 	full := message.Report{Term: 1, Session: 1, Full: true, Worker: workerInfo("a")}
 	reply := b.report("a", full)
 	require.True(t, reply.NeedFull)
 	require.Zero(t, reply.LeaseMs)
 	require.Equal(t, uint64(3), reply.Term)
-	require.False(t, b.table.Settled())
+	require.NotZero(t, b.take().Agents[0].EndsInMs, "leases of earlier terms may last on")
 	full.Term, full.Session = reply.Term, 2
 	require.NotZero(t, b.report("a", full).LeaseMs)
-	require.True(t, b.table.Settled())
+	require.Equal(t, []AgentLease{{Agent: "a"}}, b.take().Agents)
 }
--- a/process/schedule/restored_ends_test.go
+++ b/process/schedule/restored_ends_test.go
@@ -32,7 +32,7 @@
 		next := newTestbench(t, 2)
 		next.clock = b.clock
 		next.table = newTable(b.clock, 2)
-		next.table.Restore(b.now(), []Restored{{Definition: def, Progress: &records[0].Progress, Term: 1}}, map[string]time.Time{"a": b.now().Add(time.Minute)})
+		next.table.Restore(b.now(), []Restored{{Definition: def, Progress: &records[0].Progress, Term: 1}}, leasesEnding(map[string]time.Time{"a": b.now().Add(time.Minute)}))
 		var ends []message.RunEnd
 		for i, run := range order {
 			ends = append(ends, runEnd(key("j", 0, 0, run), job.EndFailed, uint64(i+1)))
@@ -59,7 +59,7 @@
 		agents[agent] = b.now().Add(time.Minute)
 	}
 	def := definition("j", checkProfile, 1)
-	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, agents)
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, leasesEnding(agents))
 	full := func(agent string, r message.Report) {
 		r.Session, r.Full, r.Worker = 1, true, workerInfo(agent)
 		b.report(agent, r)
@@ -89,7 +89,7 @@
 	}
 	lateAgent := newTestbench(t, 2)
 	until := lateAgent.now().Add(testLease)
-	lateAgent.table.Restore(lateAgent.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, map[string]time.Time{"a": until})
+	lateAgent.table.Restore(lateAgent.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, leasesEnding(map[string]time.Time{"a": until}))
 	lateAgent.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b")})
 	lateAgent.register()
 	lateAgent.clock.Advance(testLease + time.Second)
@@ -104,7 +104,7 @@
 
 	adopted := newTestbench(t, 3)
 	until = adopted.now().Add(testLease)
-	adopted.table.Restore(adopted.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, map[string]time.Time{"a": until, "b": until})
+	adopted.table.Restore(adopted.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, leasesEnding(map[string]time.Time{"a": until, "b": until}))
 	adopted.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b"), Running: []message.RunState{{Key: key("j", 0, 0, 2), PacePct: fullPacePct}}})
 	done(adopted, 1)
 	adopted.commit()
@@ -119,7 +119,7 @@
 	b := newTestbench(t, 2)
 	def := definition("j", checkProfile, 1) // three attempts
 	until := b.now().Add(time.Minute)
-	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, map[string]time.Time{"a": until, "b": until})
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, leasesEnding(map[string]time.Time{"a": until, "b": until}))
 	latest := key("j", 0, 0, 2)
 	b.report("b", message.Report{
 		Session: 1, Full: true, Worker: workerInfo("b"), Running: []message.RunState{{Key: latest, PacePct: fullPacePct}},
@@ -144,7 +144,7 @@
 func TestDoneBeforeAnAdoptedRunDoesNotCount(t *testing.T) {
 	b := newTestbench(t, 2)
 	until := b.now().Add(time.Minute)
-	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, map[string]time.Time{"a": until, "b": until})
+	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, leasesEnding(map[string]time.Time{"a": until, "b": until}))
 	latest := key("j", 0, 0, 2)
 	b.report("b", message.Report{
 		Session: 1, Full: true, Worker: workerInfo("b"), Running: []message.RunState{{Key: latest, PacePct: fullPacePct, Checkpoint: "late"}},
@@ -164,7 +164,7 @@
 func TestDoneOfAnEarlierRunStaysSuperseded(t *testing.T) {
 	b := newTestbench(t, 2)
 	until := b.now().Add(time.Minute)
-	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, map[string]time.Time{"a": until, "b": until})
+	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, leasesEnding(map[string]time.Time{"a": until, "b": until}))
 	void := runEnd(key("j", 0, 0, 2), job.EndDone, 1)
 	void.Void = true
 	b.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b"), Ends: []message.RunEnd{void}})
--- a/process/schedule/restored_occurrences_test.go
+++ b/process/schedule/restored_occurrences_test.go
@@ -18,7 +18,7 @@
 	def := definition("j", checkProfile, 1)
 	def.Occurrences, def.FirstMs, def.IntervalMs = 2, b.now().Add(time.Second).UnixMilli(), 60_000
 	dead := b.now().Add(3 * time.Second)
-	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, map[string]time.Time{"a": dead, "b": dead})
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, leasesEnding(map[string]time.Time{"a": dead, "b": dead}))
 	b.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b")})
 	b.register()
 	b.clock.Advance(1100 * time.Millisecond)
@@ -50,7 +50,7 @@
 	def := definition("j", checkProfile, 1)
 	def.Occurrences, def.FirstMs, def.IntervalMs = 3, b.now().Add(time.Second).UnixMilli(), 60_000
 	until := b.now().Add(time.Minute)
-	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, map[string]time.Time{"a": until})
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, leasesEnding(map[string]time.Time{"a": until}))
 	k := key("j", 0, 0, 1)
 	b.report("a", message.Report{Session: 1, Full: true, Worker: workerInfo("a"), Running: []message.RunState{{Key: k, PacePct: fullPacePct}}})
 	b.register()
--- a/process/schedule/restored_runs_test.go
+++ b/process/schedule/restored_runs_test.go
@@ -17,7 +17,7 @@
 func TestNewLeaderAdoptsRuns(t *testing.T) {
 	b := newTestbench(t, 2)
 	def := definition("j", checkProfile, 1)
-	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, map[string]time.Time{"a": b.now().Add(testLease)})
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, leasesEnding(map[string]time.Time{"a": b.now().Add(testLease)}))
 	k := key("j", 0, 0, 1)
 	b.report("a", message.Report{Session: 1, Full: true, Worker: workerInfo("a"), Running: []message.RunState{{Key: k, PacePct: 100}}})
 	b.register()
@@ -35,7 +35,7 @@
 func TestFailedAdoptedRunIsRetried(t *testing.T) {
 	b := newTestbench(t, 2)
 	def := definition("j", checkProfile, 1)
-	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, map[string]time.Time{"a": b.now().Add(time.Minute), "b": b.now().Add(time.Minute)})
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: 1}}, leasesEnding(map[string]time.Time{"a": b.now().Add(time.Minute), "b": b.now().Add(time.Minute)}))
 	b.report("a", message.Report{Session: 1, Full: true, Worker: workerInfo("a"), Running: []message.RunState{{Key: key("j", 0, 0, 1), PacePct: fullPacePct}}})
 	b.report("a", message.Report{Ends: []message.RunEnd{runEnd(key("j", 0, 0, 1), job.EndFailed, 1)}})
 	b.register()
@@ -50,7 +50,7 @@
 func TestEarlierFailureDoesNotAffectAdoptedRun(t *testing.T) {
 	b := newTestbench(t, 2)
 	agents := map[string]time.Time{"a": b.now().Add(time.Minute), "b": b.now().Add(time.Minute), "c": b.now().Add(time.Minute)}
-	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, agents)
+	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, leasesEnding(agents))
 	b.report("a", message.Report{Session: 1, Full: true, Worker: workerInfo("a"), Running: []message.RunState{{Key: key("j", 0, 0, 2), PacePct: fullPacePct}}})
 	b.report("b", message.Report{Session: 1, Full: true, Worker: workerInfo("b"), Ends: []message.RunEnd{runEnd(key("j", 0, 0, 1), job.EndFailed, 1)}})
 	b.report("c", message.Report{Session: 1, Full: true, Worker: workerInfo("c")})
@@ -68,7 +68,7 @@
 	require.NoError(t, err)
 	b.table.cfg.Log = log
 	until := b.now().Add(time.Minute)
-	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, map[string]time.Time{"a": until, "b": until})
+	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, leasesEnding(map[string]time.Time{"a": until, "b": until}))
 	list := func(agent string, run uint32) {
 		b.report(agent, message.Report{
 			Session: 1, Full: true, Worker: workerInfo(agent), Running: []message.RunState{{Key: key("j", 0, 0, run), PacePct: fullPacePct}},
@@ -85,7 +85,7 @@
 func TestTaskWaitsForItsOrphanedRuns(t *testing.T) {
 	b := newTestbench(t, 2)
 	until := b.now().Add(time.Minute)
-	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, map[string]time.Time{"a": until, "b": until})
+	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, leasesEnding(map[string]time.Time{"a": until, "b": until}))
 	first, second := key("j", 0, 0, 1), key("j", 0, 0, 2)
 	list := func(agent string, k job.RunKey) {
 		b.report(agent, message.Report{
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -94,7 +94,7 @@
 	// unconfirmedAgents are the agents of the previous term that may still have runs
 	// which are not in the table, with the time by which their leases are known to have
 	// expired. An agent is removed at that time, or with its first full report.
-	unconfirmedAgents  map[string]time.Time
+	unconfirmedAgents  map[string]EarlierLease
 	unconfirmedExpired bool           // one of them was removed without a report
 	lapsedAgents       int            // those that were removed without a report
 	restoredSteps      []*stepState   // steps with tasks that may have runs at unconfirmedAgents
@@ -102,18 +102,21 @@
 	changedJobs        []*jobState    // jobs for Updates
 	waiting            map[string]int // jobs that have not started, by profile
 	publishedWaiting   map[string]int // waiting as last returned by Updates
-	// registered are the agents that the store is known to contain and that may get new
-	// runs; storedAgentCount is the number of agents that the store is known to contain.
-	registered       map[string]bool
-	storedAgentCount int
-	pressure         *interference.Pressure
-	sortedAgents     []*agentState // by id
-	needsPass        bool          // a change since the latest pass may allow new placements
-	passForcedAt     time.Time     // when Tick last set needsPass
+	// registered are the agents that the store is known to contain and that may get new runs.
+	registered    map[string]bool
+	withheld      map[string]bool // agents that get no lease before SetRegistered; see AgentLease
+	storedLeases  AgentLeases     // that the store is known to contain; Term 0: unknown
+	leasesTakenAt time.Time       // when TakeAgentLeases last returned a list to write
+	closed        bool            // see Close
+	pressure      *interference.Pressure
+	sortedAgents  []*agentState // by id
+	needsPass     bool          // a change since the latest pass may allow new placements
+	passForcedAt  time.Time     // when Tick last set needsPass
 	// passNotBefore is the earliest time of the next pass; it limits the processor time
 	// of long passes.
 	passNotBefore time.Time
 	createdAt     time.Time
+	restoredAt    time.Time // when Restore was called, before which no agent can report
 	// termConfirmedAt is the latest time at which this term is known to have been the
 	// newest one.
 	termConfirmedAt        time.Time
@@ -140,8 +143,8 @@
 		cfg: cfg, mu: lockrank.NewMutex(lockrank.RankScheduler),
 		jobs: map[string]*jobState{}, agents: map[string]*agentState{},
 		ready: map[*stepState]struct{}{}, futureJobs: map[*jobState]struct{}{},
-		unconfirmedAgents: map[string]time.Time{}, waiting: map[string]int{}, publishedWaiting: map[string]int{},
-		registered: map[string]bool{}, pressure: interference.NewPressure(),
+		unconfirmedAgents: map[string]EarlierLease{}, waiting: map[string]int{}, publishedWaiting: map[string]int{},
+		registered: map[string]bool{}, withheld: map[string]bool{}, pressure: interference.NewPressure(),
 		createdAt: cfg.Clock.Now(), startTracker: newStartTracker(), quotas: newQuotas(), capacities: placement.Capacities{},
 		pairings:         interference.NewPairings(interference.PairingsConfig{Clock: cfg.Clock}),
 		changedSummaries: map[string]struct{}{},
--- a/process/schedule/testbench_test.go
+++ b/process/schedule/testbench_test.go
@@ -83,7 +83,7 @@
 }
 
 func (b *testbench) register() {
-	agents, _ := b.table.TakeDurableAgents()
+	agents, _ := b.table.TakeAgentLeases(b.now())
 	b.table.SetRegistered(agents)
 }
 
@@ -257,7 +257,7 @@
 	b := newTestbench(t, 2)
 	big := definition("old", checkProfile, 1)
 	big.Steps[0].Need.MilliCPU = 60_000
-	b.table.Restore(b.now(), []Restored{{Definition: big, Term: 1}}, map[string]time.Time{"a": b.now().Add(testLease)})
+	b.table.Restore(b.now(), []Restored{{Definition: big, Term: 1}}, leasesEnding(map[string]time.Time{"a": b.now().Add(testLease)}))
 	require.True(t, b.table.Cancel(b.now(), "old"))
 	k := key("old", 0, 0, 1)
 	b.report("a", message.Report{Session: 1, Full: true, Worker: workerInfo("a"), Running: []message.RunState{{Key: k}}})
--- a/process/term/term.go
+++ b/process/term/term.go
@@ -40,10 +40,6 @@
 	Term     uint64 `msgpack:"t"`
 	Number   uint64 `msgpack:"n"`
 	Resigned bool   `msgpack:"r,omitempty"` // the leader gives the term up
-	// Settled: no leader of an earlier term can keep a run alive. Each agent that may have had
-	// runs has reported to the leader of Term, and accepts no grant of an earlier term since
-	// then, or its leases are over. Once set, it stays set for the rest of the term.
-	Settled bool `msgpack:"s,omitempty"`
 }
 
 // View is the content of both keys as read from the store, or as much of it as an
@@ -131,12 +127,6 @@
 	return v.Revision != 0 && v.Holder.ID == self.ID && v.Holder.StartedMs == self.StartedMs
 }
 
-// Settled reports whether no leader of a term before v.Term can keep a run alive. It is false
-// if the leader of v.Term is not known to have reached that state.
-func (v View) Settled() bool {
-	return v.Heartbeat.Term == v.Term && v.Heartbeat.Settled
-}
-
 // HeartbeatTxn returns the write of a heartbeat, on condition that HeartbeatKey still has the
 // given revision.
 func HeartbeatTxn(heartbeat Heartbeat, revision uint64) (platform.Txn, error) {
