process/schedule: do not repeat a failed refresh of the stored lease times at once

What the store saw: by reading, while the store is down and agents are missing, a transaction each CommitInterval (20 ms) instead of each heartbeat (375 ms). Cause: taking a list to write made the stored list unknown, also if only its times had changed, so that a failed write left a change to be written at once. Change: a list that differs in its times only leaves the stored one known. Result: TestFailedRefreshOfTheListWaits failed before and passes.

--- a/process/schedule/agent_leases.go
+++ b/process/schedule/agent_leases.go
@@ -67,17 +67,20 @@
 }
 
 // TakeAgentLeases returns the list that the store must contain. If changed is set, the caller
-// writes it and then calls SetRegistered; until then it is not known which list the store
-// contains. From now on agents that are not in the list get no new
-// runs, and those whose leases are withheld no leases either, whether the write succeeds or not:
-// the next leader relies on that.
+// writes it and then calls SetRegistered; until then it is not known which agents the list in the
+// store contains. From now on agents that are not in the list get no new runs, and those whose
+// leases are withheld no leases either, whether the write succeeds or not: the next leader relies
+// on that.
 func (t *Table) TakeAgentLeases(now time.Time) (list AgentLeases, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list = t.agentLeases(now)
-	refresh := len(t.unconfirmedAgents) > 0 && now.Sub(t.leasesTakenAt) >= leasesRefresh
-	if !refresh && list.sameAgents(&t.storedLeases) {
-		return list, false
+	if list.sameAgents(&t.storedLeases) {
+		refresh := len(t.unconfirmedAgents) > 0 && now.Sub(t.leasesTakenAt) >= leasesRefresh
+		if refresh {
+			t.leasesTakenAt = now
+		}
+		return list, refresh
 	}
 	t.leasesTakenAt, t.storedLeases = now, AgentLeases{}
 	may := map[string]bool{}
--- a/process/schedule/agent_leases_test.go
+++ b/process/schedule/agent_leases_test.go
@@ -117,3 +117,14 @@
 	require.False(t, b.table.AgentLeasesChanged(b.now()), "the times alone need no transaction")
 	require.Equal(t, (2*testLease - leasesRefresh).Milliseconds(), b.take().Agents[0].EndsInMs)
 }
+
+// Guards against a leader that calls the store every few milliseconds while it is down: a list that
+// differs in its times only can wait for the next heartbeat.
+func TestFailedRefreshOfTheListWaits(t *testing.T) {
+	b := restoreMissing(t, 3*testLease)
+	b.clock.Advance(testLease)
+	b.table.SetRegistered(b.take())
+	b.clock.Advance(leasesRefresh)
+	b.take() // and the write fails
+	require.False(t, b.table.AgentLeasesChanged(b.now()))
+}
