process/schedule: list a draining agent until its pending lease is granted

What the agent saw: by reading, a missing agent that comes back with a draining worker and without runs never got a lease and reported every 100 ms until the worker left. Cause: the lease of a missing agent is pending until the list in the store contains it, and the list leaves agents out whose worker drains and that have no runs. Change: such an agent is listed while its lease is pending. Result: TestPendingLeaseOfADrainingWorkerIsGranted failed before and passes.

--- a/process/schedule/agent_leases.go
+++ b/process/schedule/agent_leases.go
@@ -115,10 +115,11 @@
 
 // agentLeases returns the list of the agents that may have runs. An agent without runs whose
 // worker drains gets none, so the next leader need not wait for it, which may have left by then.
+// One whose lease is pending is listed all the same: it reports until it has the lease.
 func (t *Table) agentLeases(now time.Time) AgentLeases {
 	list := AgentLeases{Term: t.cfg.Term, Closed: t.closed}
 	for id, a := range t.agents {
-		if a.worker.Draining && len(a.runs) == 0 {
+		if a.worker.Draining && len(a.runs) == 0 && !t.withheld[id] {
 			continue
 		}
 		lease := AgentLease{Agent: id}
--- a/process/schedule/agent_leases_test.go
+++ b/process/schedule/agent_leases_test.go
@@ -128,3 +128,17 @@
 	b.take() // and the write fails
 	require.False(t, b.table.AgentLeasesChanged(b.now()))
 }
+
+// Guards against an agent that reports every 100 ms for good, because its worker drains and its
+// lease stays pending.
+func TestPendingLeaseOfADrainingWorkerIsGranted(t *testing.T) {
+	b := restoreMissing(t, 3*testLease)
+	b.clock.Advance(testLease)
+	b.table.SetRegistered(b.take())
+	draining := workerInfo("a")
+	draining.Draining = true
+	require.True(t, b.report("a", message.Report{Session: 2, Full: true, Worker: draining}).LeasePending)
+	b.table.SetRegistered(b.take())
+	require.NotZero(t, b.report("a", message.Report{Session: 2}).LeaseMs)
+	require.Empty(t, b.take().Agents, "the next leader need not wait for it")
+}
