process/lead: store the end of a term in each planned hand-over

Cause: a leader stored when its leases end only after all changed records, which a busy leader never finishes, and not at all without a follower. Without a follower the end of its term was not stored either: an entry that has not followed it waits 8 s for a heartbeat. A leader that lost its term meanwhile stayed in the hand-over until its context ended.

Change: a hand-over first closes the table, then commits the list of leases, a heartbeat that gives the term up and the changed records together, for as long as the process leads; without followers too. The hook of TestDrainingWaitsForItsClaim acts on the claim alone, as the hand-over commits now.

--- a/process/lead/claim.go
+++ b/process/lead/claim.go
@@ -107,14 +107,15 @@
 	n.elector.SuspendClaims(n.cfg.Clock.Now().Add(n.cfg.Timing.LeaderTimeout))
 }
 
-// stepDown ends the term l if this process still leads it.
-func (n *Node) stepDown(l *leaderTerm, reason string) {
+// stepDown ends the term l and reports true if this process still leads it.
+func (n *Node) stepDown(l *leaderTerm, reason string) bool {
 	if !n.ownTerm.CompareAndSwap(l, nil) {
-		return
+		return false
 	}
 	n.leaderReady.Store(false)
 	n.cfg.Log.Emit(event.TermEnded, "term", l.number, "reason", reason)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.elector.RecordTermEnd(n.cfg.Clock.Now(), l.number)
+	return true
 }
--- a/process/lead/claim_test.go
+++ b/process/lead/claim_test.go
@@ -84,6 +84,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	drained, waiting := make(chan struct{}), make(chan struct{})
 	store.committed = func() {
+		store.committed = nil // the hand-over commits too
 		go func() {
 			n.HandOver(ctx)
 			close(drained)
--- a/process/lead/commits.go
+++ b/process/lead/commits.go
@@ -68,7 +68,8 @@
 // plan builds the next transaction. Records that do not fit stay dirty.
 func (l *leaderTerm) plan() (*pendingBatch, error) {
 	pending := &pendingBatch{heartbeat: l.heartbeat.Load() + 1, resigns: l.resigning.Load()}
-	if pending.resigns {
+	closing := pending.resigns || l.closing.Load()
+	if closing {
 		l.table.Close()
 	}
 	agents, changed := l.table.TakeAgentLeases(l.node.cfg.Clock.Now())
@@ -76,7 +77,7 @@
 	heartbeatRevision, agentsRevision := l.mu.heartbeatRevision, l.mu.agentsRevision
 	l.mu.Unlock()
 	extra, err := term.HeartbeatTxn(term.Heartbeat{
-		Term: l.number, Number: pending.heartbeat, Resigned: pending.resigns,
+		Term: l.number, Number: pending.heartbeat, Resigned: closing,
 	}, heartbeatRevision)
 	if err != nil {
 		return nil, err
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -47,6 +47,7 @@
 	degraded      atomic.Bool
 	agentsReached atomic.Bool   // at least half of the known agents were once reachable in this term
 	resigning     atomic.Bool   // the term is being resigned: isolated from agents and entries
+	closing       atomic.Bool   // the term is being handed over
 	previousEnded atomic.Bool   // the leader of the previous term grants leases no more
 	heartbeat     atomic.Uint64 // number of the last one that the store has confirmed
 
@@ -277,23 +278,26 @@
 	}
 }
 
-// resign gives the term up: it commits the changed records and then the time by which its leases
-// end, until ctx ends or the store fails, steps down, and notifies the followers of that and of
-// the successor.
+// resign gives the term up, steps down, and notifies the followers of that and of the successor.
+// Nothing is left to do if the term ends otherwise meanwhile.
 func (l *leaderTerm) resign(ctx context.Context) {
-	l.commitUntil(ctx, func() bool { return l.table.DirtyCount() == 0 })
-	l.table.Close()
-	l.commitUntil(ctx, l.table.ClosedDurably)
-	l.node.stepDown(l, "process stops")
+	l.closeTerm(ctx)
+	if !l.node.stepDown(l, "process stops") {
+		return
+	}
 	last := message.Update{Term: l.number, Resigned: true, Successor: l.successor()}
 	for _, conn := range l.followerConns() {
 		_ = conn.Notify(message.KindUpdate, &last) // an entry that misses it finds that this one does not lead
 	}
 }
 
-// commitUntil commits until done, until ctx ends or while the store serves this process.
-func (l *leaderTerm) commitUntil(ctx context.Context, done func() bool) {
-	for ctx.Err() == nil && !done() && !l.degraded.Load() {
+// closeTerm ends the grants of leases and the orders of the term, and commits that, with the times
+// by which the leases end and the changed records, until ctx or the term ends or the store fails.
+func (l *leaderTerm) closeTerm(ctx context.Context) {
+	l.closing.Store(true)
+	l.table.Close()
+	for ctx.Err() == nil && l.node.ownTerm.Load() == l && !l.degraded.Load() &&
+		(!l.table.ClosedDurably() || l.table.DirtyCount() > 0) {
 		l.commit()
 		l.node.sleep(ctx, l.node.cfg.Timing.CommitInterval)
 	}
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -166,6 +166,12 @@
 		n.sleep(ctx, tickInterval)
 	}
 	if l := n.ownTerm.Load(); l != nil {
+		// No entry follows, so the store alone tells the next leader that this term has ended.
+		if l.loaded.Load() {
+			closing, cancel := context.WithTimeout(context.Background(), n.cfg.Timing.CallTimeout)
+			defer cancel()
+			l.closeTerm(closing)
+		}
 		n.stepDown(l, "process stops")
 	}
 }
