process/schedule, process/lead: withhold no leases in an outage of the store

Cause: a missing agent was marked, and its lease pending, also when the store did not serve the leader, and as soon as a leader had read a list in which the agent was missing.

Change: marks are added only to a list that follows a confirmed one of the same term, and while the last transaction did not fail.

Result: TestOutageLeavesNoLeasePending failed before and passes; go test -race passes in process/lead and process/schedule. The tests of the chains of leaders hold as before.

--- a/process/lead/agent_leases.go
+++ b/process/lead/agent_leases.go
@@ -42,17 +42,15 @@
 	longest := schedule.SafeLeaseEnd(now.Add(t.Outage+t.Lease), t.Lease)
 	leases := make(map[string]schedule.EarlierLease, len(list.Agents))
 	for _, a := range list.Agents {
-		remaining := time.Duration(a.EndsInMs) * time.Millisecond
-		recorded := now.Add(remaining)
+		recorded := now.Add(time.Duration(a.EndsInMs) * time.Millisecond)
 		lease := schedule.EarlierLease{End: longest, Earliest: longest, Withheld: a.Withheld}
 		switch {
 		case a.Withheld, list.Closed && list.Term == previous:
 			lease.End, lease.Earliest = recorded, recorded
+		case list.Term == previous && a.EndsInMs == 0:
+			lease.Earliest = now // only the leader of the previous term may have granted more
 		case list.Term == previous:
-			lease.Earliest = recorded // only the leader of the previous term may have granted more
-			// An agent that was missing there is likely to stay away. Leaders that fail within a
-			// second each would never mark it, and the wait would begin anew with each of them.
-			lease.Withheld = a.EndsInMs > 0
+			lease.Earliest, lease.Missing = recorded, true // as above
 		case list.Closed && list.Term+1 == previous:
 			lease.Earliest = recorded // as above
 		}
--- a/process/lead/agent_leases_test.go
+++ b/process/lead/agent_leases_test.go
@@ -19,20 +19,20 @@
 	missing := schedule.AgentLease{Agent: "a", EndsInMs: 1000}
 	reported := schedule.AgentLease{Agent: "a"}
 	cases := []struct {
-		name             string
-		list             schedule.AgentLeases
-		earliest, latest time.Duration // with and without a sign that the previous leader has ended
-		withheld         bool
+		name              string
+		list              schedule.AgentLeases
+		earliest, latest  time.Duration // with and without a sign that the previous leader has ended
+		withheld, missing bool
 	}{
-		{"reported to the previous leader", schedule.AgentLeases{Term: 4, Agents: []schedule.AgentLease{reported}}, 0, longest, false},
-		{"missing at the previous leader", schedule.AgentLeases{Term: 4, Agents: []schedule.AgentLease{missing}}, time.Second, longest, true},
-		{"withheld by the previous leader", schedule.AgentLeases{Term: 4, Agents: []schedule.AgentLease{withheld}}, time.Second, time.Second, true},
-		{"withheld by a leader before", schedule.AgentLeases{Term: 2, Agents: []schedule.AgentLease{withheld}}, time.Second, time.Second, true},
-		{"handed over by the previous leader", schedule.AgentLeases{Term: 4, Closed: true, Agents: []schedule.AgentLease{missing}}, time.Second, time.Second, false},
-		{"handed over by a leader before", schedule.AgentLeases{Term: 3, Closed: true, Agents: []schedule.AgentLease{missing}}, time.Second, longest, false},
-		{"handed over by a leader long before", schedule.AgentLeases{Term: 2, Closed: true, Agents: []schedule.AgentLease{missing}}, longest, longest, false},
-		{"list of a leader before", schedule.AgentLeases{Term: 3, Agents: []schedule.AgentLease{reported}}, longest, longest, false},
-		{"list of an unknown term", schedule.AgentLeases{Agents: []schedule.AgentLease{reported}}, longest, longest, false},
+		{"reported to the previous leader", schedule.AgentLeases{Term: 4, Agents: []schedule.AgentLease{reported}}, 0, longest, false, false},
+		{"missing at the previous leader", schedule.AgentLeases{Term: 4, Agents: []schedule.AgentLease{missing}}, time.Second, longest, false, true},
+		{"withheld by the previous leader", schedule.AgentLeases{Term: 4, Agents: []schedule.AgentLease{withheld}}, time.Second, time.Second, true, false},
+		{"withheld by a leader before", schedule.AgentLeases{Term: 2, Agents: []schedule.AgentLease{withheld}}, time.Second, time.Second, true, false},
+		{"handed over by the previous leader", schedule.AgentLeases{Term: 4, Closed: true, Agents: []schedule.AgentLease{missing}}, time.Second, time.Second, false, false},
+		{"handed over by a leader before", schedule.AgentLeases{Term: 3, Closed: true, Agents: []schedule.AgentLease{missing}}, time.Second, longest, false, false},
+		{"handed over by a leader long before", schedule.AgentLeases{Term: 2, Closed: true, Agents: []schedule.AgentLease{missing}}, longest, longest, false, false},
+		{"list of a leader before", schedule.AgentLeases{Term: 3, Agents: []schedule.AgentLease{reported}}, longest, longest, false, false},
+		{"list of an unknown term", schedule.AgentLeases{Agents: []schedule.AgentLease{reported}}, longest, longest, false, false},
 	}
 	for _, c := range cases {
 		lease := earlierLeases(now, &c.list, 4, &testTiming)["a"]
@@ -42,6 +42,7 @@
 		require.GreaterOrEqual(t, lease.Earliest.Sub(now), c.earliest, c.name)
 		require.Less(t, lease.Earliest.Sub(now), c.earliest+slack, c.name)
 		require.Equal(t, c.withheld, lease.Withheld, c.name)
+		require.Equal(t, c.missing, lease.Missing, c.name)
 	}
 }
 
--- a/process/lead/commits.go
+++ b/process/lead/commits.go
@@ -26,12 +26,12 @@
 	l.mu.Lock()
 	heartbeatDue := now.Sub(l.mu.lastCommit) >= l.node.cfg.Timing.LeaderTimeout/heartbeatsPerTimeout
 	intervalPassed := now.Sub(l.mu.lastCommit) >= l.node.cfg.Timing.CommitInterval
-	isPending := l.mu.pending != nil
+	isPending, storeServes := l.mu.pending != nil, l.mu.failingSince.IsZero()
 	l.mu.Unlock()
 	if !intervalPassed && (dirty < backlogThreshold || isPending) {
 		return
 	}
-	agentsChanged := l.table.AgentLeasesChanged(now)
+	agentsChanged := l.table.AgentLeasesChanged(now, storeServes)
 	if isPending || heartbeatDue || agentsChanged || dirty > 0 || l.table.NeedsTermConfirmation() {
 		l.submitOnce(&l.committing, l.write)
 	}
@@ -72,10 +72,11 @@
 	if closing {
 		l.table.Close()
 	}
-	agents, changed := l.table.TakeAgentLeases(l.node.cfg.Clock.Now())
 	l.mu.Lock()
 	heartbeatRevision, agentsRevision := l.mu.heartbeatRevision, l.mu.agentsRevision
+	storeServes := l.mu.failingSince.IsZero()
 	l.mu.Unlock()
+	agents, changed := l.table.TakeAgentLeases(l.node.cfg.Clock.Now(), storeServes)
 	extra, err := term.HeartbeatTxn(term.Heartbeat{
 		Term: l.number, Number: pending.heartbeat, Resigned: closing,
 	}, heartbeatRevision)
--- a/process/lead/hand_over_test.go
+++ b/process/lead/hand_over_test.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/term"
 )
 
@@ -117,3 +118,44 @@
 	waitForEarlier(t, claimTerm(t, next), clock)
 	require.Less(t, clock.Since(began), maxRestartDelay)
 }
+
+// leasedAfter returns how long after a claim an agent gets a lease that reports from a time on to a
+// leader which the store does not serve.
+func leasedAfter(t *testing.T, l *leaderTerm, clock *clockwork.FakeClock, from time.Duration) time.Duration {
+	t.Helper()
+	report := message.Report{Agent: "a", Session: 3, Full: true, Term: l.number, Worker: &message.WorkerInfo{ID: "a", Reachable: true}}
+	for began := clock.Now(); clock.Since(began) < testTiming.Outage-time.Second; clock.Advance(100 * time.Millisecond) {
+		l.write(t.Context())
+		if clock.Since(began) < from {
+			continue
+		}
+		report.Sequence++
+		if l.applyReport(t.Context(), nil, &report).LeaseMs > 0 {
+			return clock.Since(began)
+		}
+	}
+	t.Error("no lease in the outage of the store")
+	return 0
+}
+
+// Guards against runs that end in an outage of the store which is shorter than Timing.Outage: the
+// leases of agents that report late to a new leader, or of all agents after two changes of the
+// leader, stayed pending until the end of the outage.
+func TestOutageLeavesNoLeasePending(t *testing.T) {
+	clock, store := clockwork.NewFakeClock(), newMemoryStore(t)
+	first := claimTerm(t, newProcess(t, "one", store, clock))
+	join(t, first, "a")
+	first.write(t.Context())
+	late := &cutStore{memoryStore: store}
+	second := claimTerm(t, newProcess(t, "two", late, clock))
+	late.cut = true
+	from := testTiming.Lease/4 + 100*time.Millisecond
+	require.Less(t, leasedAfter(t, second, clock, from), from+time.Second)
+
+	second = claimTerm(t, newProcess(t, "three", store, clock))
+	second.write(t.Context()) // nobody has reported yet
+	cut := &cutStore{memoryStore: store}
+	third := claimTerm(t, newProcess(t, "four", cut, clock))
+	cut.cut = true
+	require.Less(t, leasedAfter(t, third, clock, 0), time.Second)
+}
--- a/process/schedule/agent_leases.go
+++ b/process/schedule/agent_leases.go
@@ -27,10 +27,10 @@
 	Withheld bool `msgpack:"w,omitempty"`
 }
 
-// sameAgents reports whether two lists differ in EndsInMs at most.
-func (l *AgentLeases) sameAgents(o *AgentLeases) bool {
+// sameExceptTimes reports whether two lists differ in EndsInMs at most.
+func (l *AgentLeases) sameExceptTimes(o *AgentLeases) bool {
 	return l.Term == o.Term && l.Closed == o.Closed && slices.EqualFunc(l.Agents, o.Agents, func(a, b AgentLease) bool {
-		return a.Agent == b.Agent && a.Withheld == b.Withheld && (a.EndsInMs == 0) == (b.EndsInMs == 0)
+		return a.Agent == b.Agent && a.Withheld == b.Withheld
 	})
 }
 
@@ -48,7 +48,7 @@
 func (t *Table) SetRegistered(list AgentLeases) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.storedLeases, t.registered, t.needsPass = list, map[string]bool{}, true
+	t.storedLeases, t.listed, t.registered, t.needsPass = list, true, map[string]bool{}, true
 	for _, a := range list.Agents {
 		if !a.Withheld {
 			t.registered[a.Agent] = true
@@ -58,25 +58,26 @@
 }
 
 // AgentLeasesChanged reports whether the store must contain another list than that of the last
-// SetRegistered.
-func (t *Table) AgentLeasesChanged(now time.Time) bool {
+// SetRegistered. storeServes is as for TakeAgentLeases.
+func (t *Table) AgentLeasesChanged(now time.Time, storeServes bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := t.agentLeases(now)
-	return !list.sameAgents(&t.storedLeases)
+	list := t.agentLeases(now, storeServes)
+	return !list.sameExceptTimes(&t.storedLeases)
 }
 
 // TakeAgentLeases returns the list that the store must contain. If changed is set, the caller
 // writes it and then calls SetRegistered; until then it is not known which agents the list in the
 // store contains. From now on agents that are not in the list get no new runs, and those whose
 // leases are withheld no leases either, whether the write succeeds or not: the next leader relies
-// on that.
-func (t *Table) TakeAgentLeases(now time.Time) (list AgentLeases, changed bool) {
+// on that. storeServes is set unless the last transaction has failed: in an outage of the store no
+// further leases are withheld, since they would stay so until its end.
+func (t *Table) TakeAgentLeases(now time.Time, storeServes bool) (list AgentLeases, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list = t.agentLeases(now)
-	if list.sameAgents(&t.storedLeases) {
-		refresh := len(t.unconfirmedAgents) > 0 && now.Sub(t.leasesTakenAt) >= leasesRefresh
+	list = t.agentLeases(now, storeServes)
+	if list.sameExceptTimes(&t.storedLeases) {
+		refresh := !slices.Equal(list.Agents, t.storedLeases.Agents) && now.Sub(t.leasesTakenAt) >= leasesRefresh
 		if refresh {
 			t.leasesTakenAt = now
 		}
@@ -116,7 +117,7 @@
 // agentLeases returns the list of the agents that may have runs. An agent without runs whose
 // worker drains gets none, so the next leader need not wait for it, which may have left by then.
 // One whose lease is pending is listed all the same: it reports until it has the lease.
-func (t *Table) agentLeases(now time.Time) AgentLeases {
+func (t *Table) agentLeases(now time.Time, storeServes bool) AgentLeases {
 	list := AgentLeases{Term: t.cfg.Term, Closed: t.closed}
 	for id, a := range t.agents {
 		if a.worker.Draining && len(a.runs) == 0 && !t.withheld[id] {
@@ -128,10 +129,11 @@
 		}
 		list.Agents = append(list.Agents, lease)
 	}
-	missing := now.Sub(t.restoredAt) >= t.cfg.Lease/withholdDivisor
+	mayMark := storeServes && t.listed
+	late := now.Sub(t.restoredAt) >= t.cfg.Lease/withholdDivisor
 	for id, lease := range t.unconfirmedAgents {
 		list.Agents = append(list.Agents, AgentLease{
-			Agent: id, EndsInMs: remainingMs(now, lease.End), Withheld: missing || t.withheld[id],
+			Agent: id, EndsInMs: remainingMs(now, lease.End), Withheld: t.withheld[id] || mayMark && (late || lease.Missing),
 		})
 	}
 	slices.SortFunc(list.Agents, func(a, b AgentLease) int { return strings.Compare(a.Agent, b.Agent) })
--- a/process/schedule/agent_leases_test.go
+++ b/process/schedule/agent_leases_test.go
@@ -27,18 +27,22 @@
 	return leases
 }
 
-// restoreMissing restores a task whose agent "a" has not reported; its leases end after wait.
+// restoreMissing restores a task whose agent "a" has not reported; its leases end after wait. The
+// store contains the first list, which gives agents time to find the new leader.
 func restoreMissing(t *testing.T, wait time.Duration) *testbench {
 	t.Helper()
 	b := newTestbench(t, 2)
 	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, leasesEnding(map[string]time.Time{"a": b.now().Add(wait)}))
+	list := b.take()
+	require.False(t, list.Agents[0].Withheld)
+	b.table.SetRegistered(list)
 	return b
 }
 
 // take takes the list of agents, which must have changed.
 func (b *testbench) take() AgentLeases {
 	b.t.Helper()
-	list, changed := b.table.TakeAgentLeases(b.now())
+	list, changed := b.table.TakeAgentLeases(b.now(), true)
 	require.True(b.t, changed)
 	return list
 }
@@ -47,11 +51,8 @@
 // list says, so the agent must get neither a lease nor runs before the store contains it again.
 func TestMissingAgentGetsNoLeaseBeforeItIsListedAgain(t *testing.T) {
 	b := restoreMissing(t, 3*testLease)
-	list := b.take()
-	require.False(t, list.Agents[0].Withheld, "agents need time to find a new leader")
-	b.table.SetRegistered(list)
 	b.clock.Advance(testLease / withholdDivisor)
-	list = b.take() // the write fails or takes effect late
+	list := b.take() // the write fails or takes effect late
 	require.Equal(t, []AgentLease{{Agent: "a", EndsInMs: (3*testLease - testLease/withholdDivisor).Milliseconds(), Withheld: true}}, list.Agents)
 
 	full := message.Report{Session: 2, Full: true, Worker: workerInfo("a")}
@@ -110,11 +111,11 @@
 	b := restoreMissing(t, 3*testLease)
 	b.clock.Advance(testLease)
 	b.table.SetRegistered(b.take())
-	require.False(t, b.table.AgentLeasesChanged(b.now()))
-	_, changed := b.table.TakeAgentLeases(b.now())
+	require.False(t, b.table.AgentLeasesChanged(b.now(), true))
+	_, changed := b.table.TakeAgentLeases(b.now(), true)
 	require.False(t, changed)
 	b.clock.Advance(leasesRefresh)
-	require.False(t, b.table.AgentLeasesChanged(b.now()), "the times alone need no transaction")
+	require.False(t, b.table.AgentLeasesChanged(b.now(), true), "the times alone need no transaction")
 	require.Equal(t, (2*testLease - leasesRefresh).Milliseconds(), b.take().Agents[0].EndsInMs)
 }
 
@@ -126,7 +127,7 @@
 	b.table.SetRegistered(b.take())
 	b.clock.Advance(leasesRefresh)
 	b.take() // and the write fails
-	require.False(t, b.table.AgentLeasesChanged(b.now()))
+	require.False(t, b.table.AgentLeasesChanged(b.now(), true))
 }
 
 // Guards against an agent that reports every 100 ms for good, because its worker drains and its
--- a/process/schedule/durable_agents_test.go
+++ b/process/schedule/durable_agents_test.go
@@ -19,7 +19,7 @@
 	b.clock.Advance(2 * testLease)
 	b.report("b", message.Report{})
 	b.tick() // the session of a has expired
-	list, changed := b.table.TakeAgentLeases(b.now())
+	list, changed := b.table.TakeAgentLeases(b.now(), true)
 	require.True(t, changed)
 	require.Equal(t, []string{"b"}, list.ids())
 
@@ -32,14 +32,14 @@
 	}
 
 	// The write failed: the store still has the previous list, which the table does not know.
-	list, changed = b.table.TakeAgentLeases(b.now())
+	list, changed = b.table.TakeAgentLeases(b.now(), true)
 	require.True(t, changed)
 	require.Equal(t, []string{"a", "b"}, list.ids())
 	b.table.SetRegistered(list)
 	b.tick()
 	_, agent := onlyEntry(t, b.starts())
 	require.Equal(t, "a", agent)
-	_, changed = b.table.TakeAgentLeases(b.now())
+	_, changed = b.table.TakeAgentLeases(b.now(), true)
 	require.False(t, changed)
 }
 
@@ -52,7 +52,7 @@
 	k, _ := onlyEntry(t, b.starts())
 	b.join("b")
 	durable := func() []string {
-		agents, changed := b.table.TakeAgentLeases(b.now())
+		agents, changed := b.table.TakeAgentLeases(b.now(), true)
 		if changed {
 			b.table.SetRegistered(agents)
 		}
--- a/process/schedule/restore.go
+++ b/process/schedule/restore.go
@@ -52,9 +52,12 @@
 // EarlierLease bounds the leases that an agent may hold from leaders of earlier terms.
 type EarlierLease struct {
 	End time.Time // by which they are known to have ended
-	// Earliest bounds End from below when LimitEarlierLeases shortens it; zero: nothing does.
+	// Earliest bounds End from below when LimitEarlierLeases shortens it, for the leases of leaders
+	// before the previous one; zero: there are none.
 	Earliest time.Time
 	Withheld bool // as in AgentLease
+	// Missing: the agent had not reported to the previous leader either, and is likely to stay away.
+	Missing bool
 }
 
 // LimitEarlierLeases records that the leases which the leader of the previous term has granted
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -107,6 +107,7 @@
 	withheld      map[string]bool // agents that get no lease before SetRegistered; see AgentLease
 	storedLeases  AgentLeases     // that the store is known to contain; Term 0: unknown
 	leasesTakenAt time.Time       // when TakeAgentLeases last returned a list to write
+	listed        bool            // the store has contained a list of this term
 	closed        bool            // see Close
 	pressure      *interference.Pressure
 	sortedAgents  []*agentState // by id
--- a/process/schedule/testbench_test.go
+++ b/process/schedule/testbench_test.go
@@ -83,7 +83,7 @@
 }
 
 func (b *testbench) register() {
-	agents, _ := b.table.TakeAgentLeases(b.now())
+	agents, _ := b.table.TakeAgentLeases(b.now(), true)
 	b.table.SetRegistered(agents)
 }
 
