process/lead: bound the times of the stored list of leases

Cause: the times of leader/agents were taken as they stand; one of them overflowed. Change: a time is at most the longest grant; where one is due and none is there, it is that too. Result: TestOddTimesOfTheListAreBounded failed before and passes.

--- a/process/lead/agent_leases.go
+++ b/process/lead/agent_leases.go
@@ -42,7 +42,10 @@
 	longest := schedule.SafeLeaseEnd(now.Add(t.Outage+t.Lease), t.Lease)
 	leases := make(map[string]schedule.EarlierLease, len(list.Agents))
 	for _, a := range list.Agents {
-		recorded := now.Add(time.Duration(a.EndsInMs) * time.Millisecond)
+		recorded := longest // without a time, which no leader writes here, or beyond the longest one
+		if a.EndsInMs > 0 && a.EndsInMs < longest.Sub(now).Milliseconds() {
+			recorded = now.Add(time.Duration(a.EndsInMs) * time.Millisecond)
+		}
 		lease := schedule.EarlierLease{End: longest, Earliest: longest, Withheld: a.Withheld}
 		switch {
 		case a.Withheld, list.Closed && list.Term == previous:
--- a/process/lead/agent_leases_test.go
+++ b/process/lead/agent_leases_test.go
@@ -56,3 +56,15 @@
 	_, err = decodeAgentLeases([]byte("odd entry"))
 	require.Error(t, err)
 }
+
+// Guards against a wait of an hour, or none at all, by an odd time in the list of agents.
+func TestOddTimesOfTheListAreBounded(t *testing.T) {
+	now := time.Now()
+	longest := testTiming.Outage + testTiming.Lease
+	for _, ms := range []int64{1 << 60, 3_600_000, 0, -5} {
+		list := schedule.AgentLeases{Term: 4, Closed: true, Agents: []schedule.AgentLease{{Agent: "a", EndsInMs: ms}}}
+		wait := earlierLeases(now, &list, list.Term, &testTiming)["a"].End.Sub(now)
+		require.GreaterOrEqual(t, wait, longest, "%d ms", ms)
+		require.Less(t, wait, longest+testTiming.Lease/10, "%d ms", ms)
+	}
+}
