--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -118,7 +118,7 @@
 
 // ReachableAgents returns the number of agents that have missed fewer than
 // maxMissedReports reports, and of all agents that are attached or belong to the
-// previous term and may still have runs.
+// earlier terms and may still have runs.
 func (t *Table) ReachableAgents(now time.Time) (reachable, known int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/process/schedule/ends.go
+++ b/process/schedule/ends.go
@@ -212,7 +212,7 @@
 		return
 	}
 	if limit > 0 && task.restored && len(t.unconfirmedAgents) > 0 {
-		// Agents of the previous term that have not reported yet may report failures
+		// Agents of earlier terms that have not reported yet may report failures
 		// that use up the attempts; requeueRestored requeues the task once they have.
 		if task.phase == taskActive && task.run == nil {
 			task.phase, task.endedAt = taskUnknown, now
--- a/process/schedule/restore.go
+++ b/process/schedule/restore.go
@@ -7,7 +7,7 @@
 )
 
 // requeueRestored requeues the unfinished tasks of earlier terms once no agent can have a
-// run of them that is not in the table: each agent of the previous term has reported, or
+// run of them that is not in the table: each agent of earlier terms has reported, or
 // its leases are known to have expired. As for sessions, that takes a confirmation of the
 // term: a newer leader may have extended the leases.
 func (t *Table) requeueRestored(now time.Time) {
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -91,9 +91,9 @@
 	ready      map[*stepState]struct{} // steps with tasks that may be placed
 	futureJobs map[*jobState]struct{}  // jobs with occurrences that are not due yet
 	endedJobs  []*jobState             // in the order of their end, for the retention
-	// unconfirmedAgents are the agents of the previous term that may still have runs
-	// which are not in the table, with the time by which their leases are known to have
-	// expired. An agent is removed at that time, or with its first full report.
+	// unconfirmedAgents are the agents of earlier terms that may still have runs which
+	// are not in the table. An agent is removed when its leases are known to have ended,
+	// or with its first full report.
 	unconfirmedAgents  map[string]EarlierLease
 	unconfirmedExpired bool           // one of them was removed without a report
 	lapsedAgents       int            // those that were removed without a report
--- a/process/schedule/tick.go
+++ b/process/schedule/tick.go
@@ -63,7 +63,7 @@
 }
 
 // Load contains the numbers of jobs, attached agents, ready steps and runs in a table, of the
-// agents of the previous term that have not reported and may still have runs, and of the idle
+// agents of earlier terms that have not reported and may still have runs, and of the idle
 // long-running tasks at the latest scan.
 type Load struct {
 	Jobs, Agents, Ready, Runs, UnconfirmedAgents int
