--- a/process/lead/processes_test.go
+++ b/process/lead/processes_test.go
@@ -21,6 +21,14 @@
 	"camphorhead.example/camphorhead/process/term"
 )
 
+// testContext is what *testing.T and *rapid.T have in common.
+type testContext interface {
+	require.TestingT
+	Helper()
+	Cleanup(cleanup func())
+	Context() context.Context
+}
+
 // memoryStore is a store in memory that several nodes share.
 type memoryStore struct {
 	mu           sync.Mutex // guards the fields below
@@ -29,7 +37,7 @@
 	loseResponse bool // of the next transaction, which takes effect
 }
 
-func newMemoryStore(t *testing.T, agents ...string) *memoryStore {
+func newMemoryStore(t testContext, agents ...string) *memoryStore {
 	t.Helper()
 	value, err := msgpack.Marshal(agents)
 	require.NoError(t, err)
@@ -119,7 +127,7 @@
 var startOfProcess int64
 
 // newProcess returns the node of a process of an entry. It has no ticker: tests call its steps.
-func newProcess(t *testing.T, id string, store platform.Store, clock clockwork.Clock) *Node {
+func newProcess(t testContext, id string, store platform.Store, clock clockwork.Clock) *Node {
 	t.Helper()
 	startOfProcess++
 	self := message.EntryInfo{ID: id, StartedMs: startOfProcess}
@@ -130,6 +138,7 @@
 	})
 	t.Cleanup(func() {
 		n.storePool.Close()
+		n.advice.Close()
 		workers.Close()
 	})
 	return n
