--- a/process/schedule/agent_leases_test.go
+++ b/process/schedule/agent_leases_test.go
@@ -143,3 +143,17 @@
 	require.NotZero(t, b.report("a", message.Report{Session: 2}).LeaseMs)
 	require.Empty(t, b.take().Agents, "the next leader need not wait for it")
 }
+
+// Guards against two runs of a task: an agent that the store does not contain lists a run, as after
+// one that it had given up has reappeared, and the next leader would not wait for its lease.
+func TestUnlistedAgentWithRunsGetsNoLease(t *testing.T) {
+	b := newTestbench(t, 2)
+	b.table.Restore(b.now(), []Restored{{Definition: definition("j", checkProfile, 1), Term: 1}}, nil)
+	b.table.SetRegistered(b.take())
+	running := []message.RunState{{Key: key("j", 0, 0, 1), PacePct: fullPacePct}}
+	reply := b.report("a", message.Report{Full: true, Worker: workerInfo("a"), Running: running})
+	require.True(t, reply.LeasePending)
+	require.Zero(t, reply.LeaseMs)
+	b.table.SetRegistered(b.take())
+	require.NotZero(t, b.report("a", message.Report{}).LeaseMs)
+}
