process/entry, platform: log and count what reads of the configuration receive

Cause: nothing told a document that is too large for the time of a call from a store that does not respond, and lost watch positions and the time to decode were not logged. A watch that ends with the process is no longer logged as an outage of the store.

--- a/process/entry/document.go
+++ b/process/entry/document.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"camphorhead.example/camphorhead/process/event"
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/version/profile"
 )
@@ -28,55 +29,87 @@
 	documentRetryPause = 200 * time.Millisecond
 )
 
+// documentFailureLogInterval bounds the lines about failed calls: a store that refuses calls
+// at once would fill the log.
+const documentFailureLogInterval = time.Second
+
+// The reasons for reading the whole document, in metrics.DocumentReads.
+const (
+	readAtStart         = "start"
+	readAfterFailure    = "failure"
+	readWithoutHistory  = "history"
+	operationReadConfig = "read configuration"
+)
+
+// documentFollower is the state of followDocument; its goroutine alone uses it.
+type documentFollower struct {
+	*Entry
+	source   DocumentSource
+	failures int       // calls that failed in a row
+	loggedAt time.Time // last line about a failed call
+}
+
 // followDocument puts each version of the operators' document in force until
 // runCtx ends. It reads the document again whenever a watch call fails.
 func (e *Entry) followDocument(source DocumentSource) {
 	defer close(e.watchDone)
+	f := &documentFollower{Entry: e, source: source}
 	var after uint64
-	for e.runCtx.Err() == nil {
-		revision, err := e.readDocument(source)
+	for reason := readAtStart; e.runCtx.Err() == nil; {
+		revision, err := f.read(reason)
 		if err != nil {
+			reason = readAfterFailure
 			e.pause(documentRetryPause)
 			continue
 		}
 		after = max(after, revision)
-		if after, err = e.watchDocument(source, after); err != nil {
+		if after, err = f.watch(after); err != nil {
+			reason = readAfterFailure
+			if errors.Is(err, platform.ErrCompacted) {
+				reason = readWithoutHistory
+				e.log.Emit(event.DocumentPositionLost, "revision", revision, "version", e.ConfigVersion())
+			}
 			e.pause(documentRetryPause)
 		}
 	}
 }
 
-// readDocument puts the current document in force and returns its revision; 0: there is none.
-func (e *Entry) readDocument(source DocumentSource) (uint64, error) {
-	ctx, cancel := e.callContext(e.runCtx)
+// read puts the current document in force and returns its revision; 0: there is none.
+func (f *documentFollower) read(reason string) (uint64, error) {
+	f.metrics.AddFor(metrics.DocumentReads, reason, 1)
+	ctx, cancel := f.callContext(f.runCtx)
 	defer cancel()
-	kv, err := e.store.Read(ctx, source.Key)
-	e.recordDocumentResult(err)
+	var t platform.Transfer
+	began := f.clock.Now()
+	kv, err := f.store.Read(platform.WithTransfer(ctx, &t), f.source.Key)
+	f.record("read", began, t, err)
 	if err != nil {
 		return 0, err
 	}
 	if kv.Revision != 0 {
-		e.putDocumentInForce(source, kv.Value)
+		f.putInForce(kv.Value, t)
 	}
 	return kv.Revision, nil
 }
 
-// watchDocument applies changes until a call fails; it returns the revision to watch from next.
-func (e *Entry) watchDocument(source DocumentSource, after uint64) (uint64, error) {
-	for e.runCtx.Err() == nil {
-		ctx, cancel := context.WithTimeout(e.runCtx, documentWatchWait+e.cfg.Limits.CallTimeout())
-		changes, next, err := e.store.Changes(ctx, source.Prefix, after, documentWatchWait)
+// watch applies changes until a call fails; it returns the revision to watch from next.
+func (f *documentFollower) watch(after uint64) (uint64, error) {
+	for f.runCtx.Err() == nil {
+		ctx, cancel := context.WithTimeout(f.runCtx, documentWatchWait+f.cfg.Limits.CallTimeout())
+		var t platform.Transfer
+		began := f.clock.Now()
+		changes, next, err := f.store.Changes(platform.WithTransfer(ctx, &t), f.source.Prefix, after, documentWatchWait)
 		cancel()
 		if errors.Is(err, platform.ErrCompacted) {
 			return 0, err // the caller reads the document and watches from its revision
 		}
-		e.recordDocumentResult(err)
+		f.record("watch", began, t, err)
 		if err != nil {
 			return after, err
 		}
 		for _, c := range changes {
-			if c.Key == source.Key && !c.Deleted {
-				e.putDocumentInForce(source, c.Value)
+			if c.Key == f.source.Key && !c.Deleted {
+				f.putInForce(c.Value, t)
 			}
 		}
 		after = next
@@ -84,21 +117,41 @@
 	return after, nil
 }
 
-func (e *Entry) recordDocumentResult(err error) {
+// record records the result of a call to the store. The end of the process fails a watch that
+// waits, which says nothing about the store.
+func (f *documentFollower) record(operation string, began time.Time, t platform.Transfer, err error) {
+	f.metrics.Add(metrics.DocumentBytes, t.ReceivedBytes)
 	if err == nil {
-		e.config.Confirm()
+		f.failures = 0
+		f.config.Confirm()
+		f.recordStoreResult(operationReadConfig, nil)
+		return
+	}
+	if f.runCtx.Err() != nil {
+		return
+	}
+	f.failures++
+	now := f.clock.Now()
+	if f.failures == 1 || now.Sub(f.loggedAt) >= documentFailureLogInterval {
+		f.loggedAt = now
+		f.log.Emit(event.DocumentReadFailed, "operation", operation, "version", f.ConfigVersion(), "failures", f.failures,
+			"received_bytes", t.ReceivedBytes, "transfer_ms", t.Duration.Milliseconds(),
+			"elapsed_ms", now.Sub(began).Milliseconds(), "error", err)
 	}
-	e.recordStoreResult("read configuration", err)
+	f.recordStoreResult(operationReadConfig, err)
 }
 
-func (e *Entry) putDocumentInForce(source DocumentSource, value []byte) {
-	doc, err := source.Decode(value)
+func (f *documentFollower) putInForce(value []byte, t platform.Transfer) {
+	began := f.clock.Now()
+	doc, err := f.source.Decode(value)
 	if err != nil {
-		e.log.Emit(event.DocumentRefused, "subject", source.Key, "error", err)
+		f.log.Emit(event.DocumentRefused, "subject", f.source.Key, "error", err)
 		return
 	}
-	before := e.ConfigVersion()
-	if e.config.Replace(doc) {
-		e.log.Emit(event.ConfigurationInForce, "version", doc.Version, "previous_version", before, "source", "store")
+	decoded := f.clock.Since(began)
+	before := f.ConfigVersion()
+	if f.config.Replace(doc) {
+		f.log.Emit(event.ConfigurationInForce, "version", doc.Version, "previous_version", before, "source", "store",
+			"received_bytes", t.ReceivedBytes, "transfer_ms", t.Duration.Milliseconds(), "decode_ms", decoded.Milliseconds())
 	}
 }
--- a/process/entry/document_test.go
+++ b/process/entry/document_test.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/process/settings"
 	"camphorhead.example/camphorhead/version/holder"
@@ -49,7 +50,7 @@
 	store.version.Store(1)
 	run, cancel := context.WithCancel(t.Context())
 	clock := clockwork.NewRealClock()
-	e := &Entry{store: store, clock: clock, config: holder.New(clock), runCtx: run, watchDone: make(chan struct{})}
+	e := &Entry{store: store, clock: clock, config: holder.New(clock), metrics: metrics.New(), runCtx: run, watchDone: make(chan struct{})}
 	e.cfg.Limits = settings.Limits{CallTimeoutMs: 700}
 	go e.followDocument(DocumentSource{Key: "k", Prefix: "k", Decode: decodeVersion})
 	require.Eventually(t, func() bool { return e.ConfigVersion() == 1 }, applyBound, 5*time.Millisecond)
--- a/process/entry/metrics.go
+++ b/process/entry/metrics.go
@@ -15,6 +15,16 @@
 		}
 	})
 	e.metrics.RegisterFunc(metrics.TasksIdle, e.idleTasks)
+	e.metrics.RegisterFunc(metrics.ConfigVersion, func() []metrics.Sample {
+		return []metrics.Sample{{Value: float64(e.ConfigVersion())}}
+	})
+	e.metrics.RegisterFunc(metrics.ConfigAge, func() []metrics.Sample {
+		age, ok := e.config.Age()
+		if !ok {
+			return nil
+		}
+		return []metrics.Sample{{Value: age.Seconds()}}
+	})
 	registerLoad := func(id metrics.ID, value func(l schedule.Load) int) {
 		e.metrics.RegisterFunc(id, func() []metrics.Sample {
 			l, leads := e.node.Load()
--- a/process/event/catalogue.go
+++ b/process/event/catalogue.go
@@ -69,9 +69,11 @@
 }
 
 var configurationEvents = []Definition{
-	{ConfigurationInForce, "configuration_in_force", Info, "configuration is in force", withUnits("version previous_version source elapsed_ms"), noAction},
+	{ConfigurationInForce, "configuration_in_force", Info, "configuration is in force", withUnits("version previous_version source elapsed_ms received_bytes transfer_ms decode_ms"), "Nothing. For a document of the operators: received_bytes and transfer_ms are those of the response that had it, decode_ms is the time to decode it."},
 	{ConfigurationConflict, "configuration_conflict", Info, "change is refused; it is based on an older version", withUnits("kind subject based_on_version version operator"), "Base the change on the current version and send it again."},
 	{DocumentRefused, "document_refused", Error, "configuration in the store cannot be read and is ignored", withUnits("subject error"), "Correct the configuration; the previous version stays in force."},
+	{DocumentReadFailed, "document_read_failed", Error, "configuration could not be read from the store", withUnits("operation version failures received_bytes transfer_ms elapsed_ms error"), "If received_bytes is 0, check the store. If it is large, the link is too slow for the document. failures counts the calls that failed in a row."},
+	{DocumentPositionLost, "document_position_lost", Info, "store no longer has the changes after the watched position", withUnits("revision version"), "Nothing, unless it repeats."},
 }
 
 var recordEvents = []Definition{
--- a/process/event/id.go
+++ b/process/event/id.go
@@ -58,6 +58,8 @@
 	_
 	_
 	DocumentRefused
+	DocumentReadFailed
+	DocumentPositionLost
 )
 
 // Records and jobs: 5000 to 5999.
