integration, standin/store: large configurations on slow links

The stand-in of the store gives its revision with a read, as the protocol says, and limits the size of no operator's value.

--- a/integration/standin_test.go
+++ b/integration/standin_test.go
@@ -121,12 +121,13 @@
 		return nil, err
 	}
 	return map[string]commandFunc{
-		"ping":  func(string) any { return true },
-		"down":  func(a string) any { s.SetDown(a == "true"); return true },
-		"hang":  func(a string) any { s.SetHang(a == "true"); return true },
-		"delay": func(a string) any { s.SetDelay(time.Duration(parseInt(a)) * time.Millisecond); return true },
-		"lost":  func(a string) any { s.SetLostResponses(parseInt(a)); return true },
-		"calls": func(string) any { return s.Calls() },
+		"ping":    func(string) any { return true },
+		"down":    func(a string) any { s.SetDown(a == "true"); return true },
+		"hang":    func(a string) any { s.SetHang(a == "true"); return true },
+		"delay":   func(a string) any { s.SetDelay(time.Duration(parseInt(a)) * time.Millisecond); return true },
+		"lost":    func(a string) any { s.SetLostResponses(parseInt(a)); return true },
+		"calls":   func(string) any { return s.Calls() },
+		"compact": func(string) any { s.Compact(); return true },
 	}, nil
 }
 
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -71,16 +71,22 @@
 
 // Read implements platform.Store.
 func (s *Store) Read(ctx context.Context, key string) (platform.KV, error) {
+	kv, _, err := s.ReadAt(ctx, key)
+	return kv, err
+}
+
+// ReadAt is Read with the store's revision at that time.
+func (s *Store) ReadAt(ctx context.Context, key string) (kv platform.KV, revision uint64, err error) {
 	if err := s.beginCall(ctx, read); err != nil {
-		return platform.KV{}, err
+		return platform.KV{}, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	kv, ok := s.keys[key]
 	if !ok {
-		return platform.KV{Key: key}, nil
+		return platform.KV{Key: key}, s.revision, nil
 	}
-	return kv, nil
+	return kv, s.revision, nil
 }
 
 // List implements platform.Store.
