process/entry, platform: watch the configuration from the revision of the store

Callers saw nothing of this fault by itself: each entry that had started more than history_s after the last change, or had lost the store's history, read the whole document again every 0.6 to 0.85 s, on the link on which changes and requests arrive. Cause: after a read, the watch began at the revision of the document's last change, which the store may have forgotten, so it was answered 410 and the entry read everything again. The class: a position in a history taken from an item instead of from the read. Change: Store.ReadAt returns the store's revision with the key, as the protocol provides, and the watch begins there.

--- a/process/entry/document.go
+++ b/process/entry/document.go
@@ -74,14 +74,16 @@
 	}
 }
 
-// read puts the current document in force and returns its revision; 0: there is none.
+// read puts the current document in force and returns the store's revision, from which the watch
+// misses no change. The document's own revision would not do: the store forgets its changes, and
+// a watch from before the oldest that it has fails.
 func (f *documentFollower) read(reason string) (uint64, error) {
 	f.metrics.AddFor(metrics.DocumentReads, reason, 1)
 	ctx, cancel := f.callContext(f.runCtx)
 	defer cancel()
 	var t platform.Transfer
 	began := f.clock.Now()
-	kv, err := f.store.Read(platform.WithTransfer(ctx, &t), f.source.Key)
+	kv, revision, err := f.store.ReadAt(platform.WithTransfer(ctx, &t), f.source.Key)
 	f.record("read", began, t, err)
 	if err != nil {
 		return 0, err
@@ -89,7 +91,7 @@
 	if kv.Revision != 0 {
 		f.putInForce(kv.Value, t)
 	}
-	return kv.Revision, nil
+	return revision, nil
 }
 
 // watch applies changes until a call fails; it returns the revision to watch from next.
@@ -101,7 +103,7 @@
 		changes, next, err := f.store.Changes(platform.WithTransfer(ctx, &t), f.source.Prefix, after, documentWatchWait)
 		cancel()
 		if errors.Is(err, platform.ErrCompacted) {
-			return 0, err // the caller reads the document and watches from its revision
+			return 0, err // the caller reads the document and watches from that revision
 		}
 		f.record("watch", began, t, err)
 		if err != nil {
--- a/process/entry/document_test.go
+++ b/process/entry/document_test.go
@@ -25,9 +25,9 @@
 	version atomic.Uint64
 }
 
-func (s *unresponsiveStore) Read(context.Context, string) (platform.KV, error) {
+func (s *unresponsiveStore) ReadAt(context.Context, string) (platform.KV, uint64, error) {
 	v := s.version.Load()
-	return platform.KV{Value: []byte(strconv.FormatUint(v, 10)), Revision: v}, nil
+	return platform.KV{Value: []byte(strconv.FormatUint(v, 10)), Revision: v}, v, nil
 }
 
 func (s *unresponsiveStore) Changes(ctx context.Context, _ string, after uint64, _ time.Duration) ([]platform.Change, uint64, error) {
@@ -60,3 +60,42 @@
 	<-e.watchDone
 	require.True(t, errors.Is(run.Err(), context.Canceled))
 }
+
+// compactedStore has no history: watches from before its latest revision fail.
+type compactedStore struct {
+	platform.Store
+	reads atomic.Int64
+}
+
+const compactedRevision = 100
+
+func (s *compactedStore) ReadAt(context.Context, string) (platform.KV, uint64, error) {
+	s.reads.Add(1)
+	return platform.KV{Value: []byte("1"), Revision: 7}, compactedRevision, nil
+}
+
+func (s *compactedStore) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+	if after < compactedRevision {
+		return nil, after, platform.ErrCompacted
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return nil, after, nil
+}
+
+// Guards against an entry that reads the whole document again and again, because it watches from
+// the document's own revision, which the store has forgotten.
+func TestConfigurationIsReadOnceWithoutHistory(t *testing.T) {
+	store := &compactedStore{}
+	run, cancel := context.WithCancel(t.Context())
+	clock := clockwork.NewRealClock()
+	e := &Entry{store: store, clock: clock, config: holder.New(clock), metrics: metrics.New(), runCtx: run, watchDone: make(chan struct{})}
+	e.cfg.Limits = settings.Limits{CallTimeoutMs: 700}
+	go e.followDocument(DocumentSource{Key: "k", Prefix: "k", Decode: decodeVersion})
+	require.Never(t, func() bool { return store.reads.Load() > 1 }, 5*documentRetryPause, 10*time.Millisecond)
+	cancel()
+	<-e.watchDone
+	require.EqualValues(t, 1, store.reads.Load())
+}
--- a/process/jobstore/fake_test.go
+++ b/process/jobstore/fake_test.go
@@ -41,6 +41,11 @@
 	return platform.KV{Key: key}, nil
 }
 
+func (f *fakeStore) ReadAt(ctx context.Context, key string) (platform.KV, uint64, error) {
+	kv, err := f.Read(ctx, key)
+	return kv, f.revision, err
+}
+
 func (f *fakeStore) List(_ context.Context, prefix string) ([]platform.KV, uint64, error) {
 	var list []platform.KV
 	for key, kv := range f.items {
--- a/process/lead/model_entries_test.go
+++ b/process/lead/model_entries_test.go
@@ -34,6 +34,11 @@
 	return s.memoryStore.Read(ctx, key)
 }
 
+func (s *modelStore) ReadAt(ctx context.Context, key string) (platform.KV, uint64, error) {
+	kv, err := s.Read(ctx, key)
+	return kv, kv.Revision, err
+}
+
 func (s *modelStore) List(ctx context.Context, prefix string) ([]platform.KV, uint64, error) {
 	if s.cut {
 		return nil, 0, platform.ErrUnavailable
--- a/process/lead/outage_test.go
+++ b/process/lead/outage_test.go
@@ -41,6 +41,11 @@
 	return platform.KV{}, s.respond()
 }
 
+func (s *failingStore) ReadAt(ctx context.Context, key string) (platform.KV, uint64, error) {
+	kv, err := s.Read(ctx, key)
+	return kv, 1, err
+}
+
 func (s *failingStore) List(context.Context, string) ([]platform.KV, uint64, error) {
 	return nil, 1, s.respond()
 }
--- a/process/lead/processes_test.go
+++ b/process/lead/processes_test.go
@@ -52,6 +52,11 @@
 	return kv, nil
 }
 
+func (s *memoryStore) ReadAt(ctx context.Context, key string) (platform.KV, uint64, error) {
+	kv, err := s.Read(ctx, key)
+	return kv, kv.Revision, err
+}
+
 func (s *memoryStore) List(_ context.Context, prefix string) ([]platform.KV, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/process/platform/counting.go
+++ b/process/platform/counting.go
@@ -32,6 +32,12 @@
 	return c.Store.Read(ctx, key)
 }
 
+// ReadAt implements Store.
+func (c CountingStore) ReadAt(ctx context.Context, key string) (kv KV, revision uint64, err error) {
+	c.Counter.AddFor(metrics.StoreCalls, storeReads, 1)
+	return c.Store.ReadAt(ctx, key)
+}
+
 // List implements Store.
 func (c CountingStore) List(ctx context.Context, prefix string) (items []KV, revision uint64, err error) {
 	c.Counter.AddFor(metrics.StoreCalls, storeReads, 1)
--- a/process/platform/store.go
+++ b/process/platform/store.go
@@ -61,6 +61,9 @@
 type Store interface {
 	// Read returns one key; an absent key has revision 0 and no error.
 	Read(ctx context.Context, key string) (KV, error)
+	// ReadAt is Read with the store's revision at that time, from which Changes misses no later
+	// change. It is 0 if the store does not tell it, as for an absent key.
+	ReadAt(ctx context.Context, key string) (kv KV, revision uint64, err error)
 	// List returns all keys with the prefix, and the store's revision from before the
 	// first of them was read; Changes after that revision misses no change.
 	List(ctx context.Context, prefix string) (items []KV, revision uint64, err error)
