process/configlog: watch the head from the revision of the store

Change: Refresh returns the store's revision at the read; the head that was read is one type with its revision and that position.

--- a/process/configlog/configlog.go
+++ b/process/configlog/configlog.go
@@ -44,6 +44,13 @@
 	Deltas  []profile.Delta `msgpack:"d"`
 }
 
+// storedHead is the head as read from the store. Its zero value is that of an empty store.
+type storedHead struct {
+	head
+	revision uint64 // of the key
+	position uint64 // the store's revision at the read, from which Watch misses no change
+}
+
 // Log reads and changes the configuration in the store. All methods may be called from any
 // goroutine that holds no lock.
 type Log struct {
@@ -57,10 +64,10 @@
 	return &Log{store: store, holder: h, clock: clock}
 }
 
-// Refresh reads the head, puts its version in force and returns the store's revision of it.
-func (l *Log) Refresh(ctx context.Context) (revision uint64, err error) {
-	_, revision, err = l.applyHead(ctx)
-	return revision, err
+// Refresh reads the head, puts its version in force and returns the store's revision at the read.
+func (l *Log) Refresh(ctx context.Context) (position uint64, err error) {
+	h, err := l.applyHead(ctx)
+	return h.position, err
 }
 
 // Watch waits up to wait for a change of the head after a revision, and returns the
@@ -89,7 +96,7 @@
 // StoreUnavailable or Conflict if nothing was changed, else StoreUncertain.
 func (l *Log) Change(ctx context.Context, by string, build func(*profile.Document) (profile.Delta, error)) (profile.Delta, error) {
 	for range maxAttempts {
-		h, revision, err := l.applyHead(ctx)
+		h, err := l.applyHead(ctx)
 		if err != nil {
 			return profile.Delta{}, storeUnavailable(err)
 		}
@@ -103,7 +110,7 @@
 		}
 		delta.Version = h.Version + 1
 		delta.ID, delta.By, delta.AtMs = uuid.NewString(), by, l.clock.Now().UnixMilli()
-		accepted, err := l.swapHead(ctx, doc, h, revision, delta)
+		accepted, err := l.swapHead(ctx, doc, h, delta)
 		if err != nil {
 			return profile.Delta{}, err
 		}
@@ -116,7 +123,7 @@
 }
 
 // swapHead adds a delta to the head. It returns false if another change was accepted first.
-func (l *Log) swapHead(ctx context.Context, doc *profile.Document, h head, revision uint64, delta profile.Delta) (bool, error) {
+func (l *Log) swapHead(ctx context.Context, doc *profile.Document, h storedHead, delta profile.Delta) (bool, error) {
 	next := head{Version: delta.Version, Deltas: append(append([]profile.Delta(nil), h.Deltas...), delta)}
 	if len(next.Deltas) > maxDeltas {
 		if err := l.writeSnapshot(ctx, doc); err != nil {
@@ -128,14 +135,14 @@
 	if err != nil {
 		return false, errs.Wrap(err)
 	}
-	err = l.compareAndSwap(ctx, headKey, value, revision)
+	err = l.compareAndSwap(ctx, headKey, value, h.revision)
 	switch {
 	case err == nil:
 		return true, nil
 	case errs.Is(err, platform.ErrConflict):
 		return false, nil
 	case errs.Is(err, platform.ErrUncertain):
-		return l.resolveUncertain(ctx, value, revision, delta)
+		return l.resolveUncertain(ctx, value, h.revision, delta)
 	}
 	return false, storeUnavailable(err)
 }
@@ -148,11 +155,11 @@
 		if err := l.pause(ctx); err != nil {
 			return false, outcome.New(outcome.StoreUncertain, "the store did not respond; the change may have taken effect")
 		}
-		h, current, err := l.readHead(ctx)
+		h, err := l.readHead(ctx)
 		if err != nil {
 			continue
 		}
-		if current != revision {
+		if h.revision != revision {
 			return h.contains(delta.ID), nil
 		}
 		if l.compareAndSwap(ctx, headKey, value, revision) == nil {
@@ -179,34 +186,34 @@
 	}
 }
 
-// applyHead reads the head, puts its version in force and returns it with its revision.
-func (l *Log) applyHead(ctx context.Context) (head, uint64, error) {
-	h, revision, err := l.readHead(ctx)
+// applyHead reads the head, puts its version in force and returns it.
+func (l *Log) applyHead(ctx context.Context) (storedHead, error) {
+	h, err := l.readHead(ctx)
 	if err != nil {
-		return head{}, 0, err
+		return storedHead{}, err
 	}
 	if len(h.Deltas) > 0 && h.Deltas[0].Version > l.holder.Document().Version+1 {
 		if err := l.readSnapshot(ctx); err != nil {
-			return head{}, 0, err
+			return storedHead{}, err
 		}
 	}
 	l.holder.Apply(h.Deltas)
 	if l.holder.Document().Version == h.Version {
 		l.holder.Confirm()
 	}
-	return h, revision, nil
+	return h, nil
 }
 
-func (l *Log) readHead(ctx context.Context) (head, uint64, error) {
-	kv, err := l.store.Read(ctx, headKey)
+func (l *Log) readHead(ctx context.Context) (storedHead, error) {
+	kv, position, err := l.store.ReadAt(ctx, headKey)
 	if err != nil || kv.Revision == 0 {
-		return head{}, 0, err
+		return storedHead{position: position}, err
 	}
-	var h head
-	if err := body.Unmarshal(kv.Value, &h); err != nil {
-		return head{}, 0, errs.New("decoding config/head: %w", err)
+	h := storedHead{revision: kv.Revision, position: position}
+	if err := body.Unmarshal(kv.Value, &h.head); err != nil {
+		return storedHead{}, errs.New("decoding config/head: %w", err)
 	}
-	return h, kv.Revision, nil
+	return h, nil
 }
 
 func (l *Log) readSnapshot(ctx context.Context) error {
