platform, process/entry: bound reads of the configuration by progress, not by time

Callers saw requests handled by a configuration older than the one confirmed more than 4 s before, or 404 for a route that had been added, at some of the entries, for minutes. Cause: a read of the operators' document was given 700 ms, a watch what was left of 2.2 s, whatever the size, and each attempt began anew. A link of 10 Mbit/s delivers 2800 routes in 0.65 s; above that an entry whose watch fails once never gets the document again, and a restarted entry never has one. The class: a fixed time for a transfer that grows. Change: a call of the store's client without a deadline lasts as long as its response makes progress, and fails when nothing has arrived for the call timeout; the end of its context interrupts it. The follower of the document passes no deadline. The fake of an unresponsive store in the tests ends its calls after the same time as before, now by itself. Why this works: the time of a transfer follows from the size and the link alone, a silent connection is still given up after the call timeout, and nothing is received twice.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -134,7 +134,7 @@
 	n.settings.Network.AddressMap = c.addressMap(n.ID(), n.Domain)
 	n.Entry = entry.New(n.settings, entry.Deps{
 		Clock: clockwork.NewRealClock(), Log: c.logFor(n.settings),
-		Store:  adapter.NewStore(n.storeURL),
+		Store:  adapter.NewStore(n.storeURL, n.settings.Limits.CallTimeout()),
 		Delays: c.routingDelays(),
 	})
 	return n.Entry.Start(ctx)
--- a/bench/scenario/starts_bench_test.go
+++ b/bench/scenario/starts_bench_test.go
@@ -192,7 +192,7 @@
 	cfg.Process = settings.Process{ID: "entry-0", Region: "region-0", FailureDomain: "domain-0", Listen: "127.0.0.1:0", Key: fleetKey}
 	cfg.HTTP.Listen = "127.0.0.1:0"
 	e := entry.New(cfg, entry.Deps{
-		Clock: clockwork.NewRealClock(), Log: log, Store: adapter.NewStore(st.Address()),
+		Clock: clockwork.NewRealClock(), Log: log, Store: adapter.NewStore(st.Address(), cfg.Limits.CallTimeout()),
 		Delays: entry.DefaultDelays(),
 	})
 	require.NoError(b, e.Start(b.Context()))
--- a/cmd/camphorhead/roles.go
+++ b/cmd/camphorhead/roles.go
@@ -29,7 +29,7 @@
 	if cfg.Worker.Protocol != settings.ProtocolPlatform {
 		return agent.Deps{Clock: boottime.New(), Log: log, LinesDropped: dropped, Worker: platform.NewHTTPWorker(cfg.Worker.URL)}
 	}
-	store := adapter.NewStore(addressOf(cfg.Store.URL))
+	store := adapter.NewStore(addressOf(cfg.Store.URL), cfg.Limits.CallTimeout())
 	return agent.Deps{
 		Clock: boottime.New(), Log: log, LinesDropped: dropped, Worker: adapter.NewWorker(addressOf(cfg.Worker.URL)),
 		ReadLeader: func(ctx context.Context) (message.Leader, error) {
@@ -45,7 +45,7 @@
 func entryDeps(cfg settings.Settings, log event.Logger, dropped func() map[string]int64) entry.Deps {
 	deps := entry.Deps{
 		Clock: boottime.New(), Log: log, LinesDropped: dropped, Delays: entry.DefaultDelays(),
-		Store: adapter.NewStore(addressOf(cfg.Store.URL)),
+		Store: adapter.NewStore(addressOf(cfg.Store.URL), cfg.Limits.CallTimeout()),
 	}
 	if cfg.Store.Configuration == settings.ConfigurationDocument {
 		deps.Document = entry.DocumentSource{
--- a/cmd/camphorheadctl/auth_test.go
+++ b/cmd/camphorheadctl/auth_test.go
@@ -47,7 +47,7 @@
 	}}
 	e := entry.New(cfg, entry.Deps{
 		Clock: clockwork.NewRealClock(), Log: log.ForProcess("entry-0", "entry", "tunis-north", "ariana"),
-		Store: adapter.NewStore(st.Address()), Delays: routing.DefaultSettings(0, 0, 0),
+		Store: adapter.NewStore(st.Address(), cfg.Limits.CallTimeout()), Delays: routing.DefaultSettings(0, 0, 0),
 	})
 	require.NoError(t, e.Start(t.Context()))
 	t.Cleanup(func() {
--- a/integration/odd_entries_test.go
+++ b/integration/odd_entries_test.go
@@ -83,7 +83,7 @@
 		"run/":    {nested, []byte("\x81\xa1d\xdd\xff\xff\xff\xff")},
 		"leader/": {nested, d.encode(&term.Record{Term: math.MaxUint64, Holder: message.EntryInfo{Address: "127.0.0.1:99999"}})},
 	}
-	store := adapter.NewStore(d.storeConfig.Store)
+	store := adapter.NewStore(d.storeConfig.Store, d.callTimeout)
 	for _, prefix := range prefixes {
 		for i, value := range values[prefix] {
 			key := fmt.Sprintf("%s%d", prefix, i)
--- a/integration/plan_test.go
+++ b/integration/plan_test.go
@@ -94,7 +94,7 @@
 func (d *deployment) change(p profile.Profile) {
 	require.NoError(d.t, p.Validate())
 	clock := clockwork.NewRealClock()
-	log := configlog.New(adapter.NewStore(d.storeConfig.Store), holder.New(clock), clock)
+	log := configlog.New(adapter.NewStore(d.storeConfig.Store, d.callTimeout), holder.New(clock), clock)
 	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
 	defer cancel()
 	_, err := log.Change(ctx, "test", func(doc *profile.Document) (profile.Delta, error) {
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -110,7 +110,7 @@
 	require.NoError(d.t, err)
 	ctx, cancel := context.WithTimeout(d.t.Context(), readyTimeout)
 	defer cancel()
-	_, err = adapter.NewStore(d.storeConfig.Store).Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: caller.ConfigurationKey, Value: value}}})
+	_, err = adapter.NewStore(d.storeConfig.Store, d.callTimeout).Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: caller.ConfigurationKey, Value: value}}})
 	require.NoError(d.t, err)
 }
 
--- a/process/entry/document.go
+++ b/process/entry/document.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -79,11 +78,9 @@
 // a watch from before the oldest that it has fails.
 func (f *documentFollower) read(reason string) (uint64, error) {
 	f.metrics.AddFor(metrics.DocumentReads, reason, 1)
-	ctx, cancel := f.callContext(f.runCtx)
-	defer cancel()
 	var t platform.Transfer
 	began := f.clock.Now()
-	kv, revision, err := f.store.ReadAt(platform.WithTransfer(ctx, &t), f.source.Key)
+	kv, revision, err := f.store.ReadAt(platform.WithTransfer(f.runCtx, &t), f.source.Key)
 	f.record("read", began, t, err)
 	if err != nil {
 		return 0, err
@@ -97,11 +94,9 @@
 // watch applies changes until a call fails; it returns the revision to watch from next.
 func (f *documentFollower) watch(after uint64) (uint64, error) {
 	for f.runCtx.Err() == nil {
-		ctx, cancel := context.WithTimeout(f.runCtx, documentWatchWait+f.cfg.Limits.CallTimeout())
 		var t platform.Transfer
 		began := f.clock.Now()
-		changes, next, err := f.store.Changes(platform.WithTransfer(ctx, &t), f.source.Prefix, after, documentWatchWait)
-		cancel()
+		changes, next, err := f.store.Changes(platform.WithTransfer(f.runCtx, &t), f.source.Prefix, after, documentWatchWait)
 		if errors.Is(err, platform.ErrCompacted) {
 			return 0, err // the caller reads the document and watches from that revision
 		}
--- a/process/entry/document_test.go
+++ b/process/entry/document_test.go
@@ -18,6 +18,9 @@
 	"camphorhead.example/camphorhead/version/profile"
 )
 
+// testCallTimeout is the call timeout of deploy/entry.toml.
+const testCallTimeout = 700 * time.Millisecond
+
 // unresponsiveStore serves reads of a document, but its watch calls get no
 // response, as on a connection that fails without being closed.
 type unresponsiveStore struct {
@@ -30,7 +33,9 @@
 	return platform.KV{Value: []byte(strconv.FormatUint(v, 10)), Revision: v}, v, nil
 }
 
-func (s *unresponsiveStore) Changes(ctx context.Context, _ string, after uint64, _ time.Duration) ([]platform.Change, uint64, error) {
+func (s *unresponsiveStore) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+testCallTimeout)
+	defer cancel()
 	<-ctx.Done()
 	return nil, after, platform.ErrUncertain
 }
--- a/process/platform/store.go
+++ b/process/platform/store.go
@@ -58,6 +58,11 @@
 // Store is the platform's key-value store. Every call counts against its rate limits.
 // Any goroutine may call any method at any time, but must hold no lock. The errors are
 // those of this package.
+//
+// The deadline of a context bounds the whole call. Without one, a read lasts as long as its
+// response makes progress and fails after the store's call timeout without any. Callers whose
+// response grows with what is stored pass no deadline: any fixed time is too short for some size
+// on some link.
 type Store interface {
 	// Read returns one key; an absent key has revision 0 and no error.
 	Read(ctx context.Context, key string) (KV, error)
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -23,7 +23,7 @@
 	t.Cleanup(s.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
-	return s, adapter.NewStore(s.Address()), ctx
+	return s, adapter.NewStore(s.Address(), time.Second), ctx
 }
 
 // put returns a transaction that writes one key if the key has the given revision.
