process/lead: load the jobs without a time limit

Callers would see every job wait for good: no entry can lead whose link delivers the records of all jobs more slowly than in 3.5 s, since each attempt begins anew. About 4 MB of records are enough on a link of 10 Mbit/s. Cause: load had five call timeouts for all pages together, a poll of the inbox one call timeout, whatever they had to read. Change: load and the periodic poll of the inbox pass no deadline, so each call to the store lasts as long as it makes progress.

--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -120,11 +120,17 @@
 
 // submit sends a new job until it is accepted.
 func (d *platformDeployment) submit(entry int, j caller.Job) *submittedJob {
+	s := d.newJob(j)
+	d.eventually(readyTimeout, "a job is accepted", func() bool { return d.trySubmit(entry, s) })
+	return s
+}
+
+// newJob records a job that is not submitted yet.
+func (d *platformDeployment) newJob(j caller.Job) *submittedJob {
 	s := &submittedJob{id: fmt.Sprintf("%016x", rand.Uint64()), job: j, longRunning: j.Steps[0].LongRunning}
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.jobs = append(d.jobs, s)
-	d.mu.Unlock()
-	d.eventually(readyTimeout, "a job is accepted", func() bool { return d.trySubmit(entry, s) })
 	return s
 }
 
--- a/process/lead/inbox.go
+++ b/process/lead/inbox.go
@@ -10,12 +10,12 @@
 	"camphorhead.example/camphorhead/process/platform"
 )
 
-func (l *leaderTerm) readInbox(ctx context.Context) { _ = l.pollInbox(ctx) } // a failed poll is retried at the next interval
+// readInbox polls the inbox without a time limit: after an outage, or a lost history, there may be
+// any number of records. A failed poll is retried at the next interval.
+func (l *leaderTerm) readInbox(ctx context.Context) { _ = l.pollInbox(ctx) }
 
 // pollInbox applies the jobs and cancellations that were recorded since the previous poll.
 func (l *leaderTerm) pollInbox(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, l.node.cfg.Timing.CallTimeout)
-	defer cancel()
 	l.mu.Lock()
 	after := l.mu.inboxRevision
 	l.mu.inboxReadAt = l.node.cfg.Clock.Now()
--- a/process/lead/load.go
+++ b/process/lead/load.go
@@ -10,16 +10,13 @@
 	"camphorhead.example/camphorhead/process/schedule"
 )
 
-const (
-	loadCallTimeouts = 5 // time limit of load, in units of Timing.CallTimeout
-	reasonFollows    = "the holder of the previous term follows"
-)
+const reasonFollows = "the holder of the previous term follows"
 
 // load reads the jobs and the list of agents from the store into the table. Tasks of
 // earlier terms wait until their agents have reported or the agents' leases have expired.
+// It takes as long as the records need: a leader that gave up after a fixed time would
+// never lead where they are many.
 func (l *leaderTerm) load(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, loadCallTimeouts*l.node.cfg.Timing.CallTimeout)
-	defer cancel()
 	jobs, revision, unreadable, err := l.writer.Load(ctx)
 	if err != nil {
 		return err
