version: pages of the changes between two versions of a document

Cause: a process could have the operators' document from the store alone, as a whole; and between processes a document travels in one frame of at most 1 MiB within one call timeout, which a document of 6000 profiles exceeds. A document of operators has no versions of profiles: the holder gives it some as it puts it in force, and remembers the removed profiles and which versions it had; changes since other versions are not known, and a position is valid at its source alone.

--- a/version/holder/holder.go
+++ b/version/holder/holder.go
@@ -4,6 +4,8 @@
 package holder
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,21 +15,41 @@
 	"camphorhead.example/camphorhead/version/profile"
 )
 
-const maxRecentDeltas = 64 // peers further behind need the whole document
+const (
+	maxRecentDeltas = 64 // peers further behind need pages
+	// maxHeldVersions and maxRemovals bound what is kept of earlier versions of an operators'
+	// document. A peer with an older version gets all of the newest one.
+	maxHeldVersions = 64
+	maxRemovals     = 4096
+)
 
 // Holder holds the document in force. It is safe for concurrent use.
 type Holder struct {
 	clock   clockwork.Clock
+	source  uint64 // random; tells the positions of this holder's pages from those of others
 	current atomic.Pointer[profile.Document]
 
-	mu          lockrank.Mutex  // guards recent, confirmedAt and the replacement of current
-	recent      []profile.Delta // consecutive deltas up to the current version
-	confirmedAt time.Time       // zero: never confirmed
+	mu        lockrank.Mutex  // guards the fields below and the replacement of current
+	recent    []profile.Delta // consecutive deltas up to the current version
+	confirmed Confirmation
+	// heldVersions are the latest versions of an operators' document that were in force, oldest
+	// first, and removed the profiles that were removed since the first of them. The changes of
+	// profiles are known since these versions only: between two others, a profile may have changed
+	// and changed back. Both are empty for a document that has its own versions of profiles.
+	heldVersions []uint64
+	removed      []profile.Removal
+}
+
+// Confirmation says that a version was the newest one at a revision of the store and a time.
+type Confirmation struct {
+	Version  uint64
+	Revision uint64    // 0: not known
+	At       time.Time // zero: never confirmed
 }
 
 // New returns a holder of the empty document, which has version 0.
 func New(clock clockwork.Clock) *Holder {
-	h := &Holder{clock: clock, mu: lockrank.NewMutex(lockrank.RankConfig)}
+	h := &Holder{clock: clock, source: rand.Uint64(), mu: lockrank.NewMutex(lockrank.RankConfig)}
 	h.current.Store(profile.Empty())
 	return h
 }
@@ -96,21 +118,84 @@
 	return append([]profile.Delta(nil), h.recent...)
 }
 
+// ReplaceByOperators is Replace for a document that operators write as a whole, whose profiles have
+// no versions of their own. It gives them versions; the caller must not use doc before.
+func (h *Holder) ReplaceByOperators(doc *profile.Document) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	current := h.current.Load()
+	if doc.Version <= current.Version {
+		return false
+	}
+	h.removed = append(h.removed, doc.InheritVersions(current)...)
+	h.heldVersions = append(h.heldVersions, doc.Version)
+	for len(h.heldVersions) > maxHeldVersions || len(h.removed) > maxRemovals && len(h.heldVersions) > 1 {
+		h.heldVersions = h.heldVersions[1:]
+		h.dropRemovals(h.heldVersions[0])
+	}
+	h.recent = nil
+	h.current.Store(doc)
+	return true
+}
+
+// dropRemovals drops the removals by a version and all before. The caller holds mu.
+func (h *Holder) dropRemovals(version uint64) {
+	for len(h.removed) > 0 && h.removed[0].Version <= version {
+		h.removed = h.removed[1:]
+	}
+}
+
+// Page returns the part after a position of the changes since a version, or the first part if the
+// position is not one of this holder. If the changes are not known, it is the first part of the
+// whole document.
+func (h *Holder) Page(since uint64, after profile.Cursor) profile.Page {
+	if after.Source != h.source {
+		after = profile.Cursor{Source: h.source}
+	}
+	h.mu.Lock()
+	doc, known := h.current.Load(), since == 0 || len(h.heldVersions) == 0 || slices.Contains(h.heldVersions, since)
+	var removed []profile.Removal
+	for _, r := range h.removed {
+		if r.Version > since {
+			removed = append(removed, r)
+		}
+	}
+	h.mu.Unlock()
+	if !known {
+		return doc.Page(0, profile.Cursor{Source: h.source}, nil)
+	}
+	return doc.Page(since, after, removed)
+}
+
 // Confirm records that the store has just reported the current version as the newest.
 func (h *Holder) Confirm() {
+	h.ConfirmAt(Confirmation{Version: h.Document().Version, At: h.clock.Now()})
+}
+
+// ConfirmAt records a confirmation of the version in force, unless a later one is known.
+func (h *Holder) ConfirmAt(c Confirmation) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.confirmedAt = h.clock.Now()
+	if c.Version != h.current.Load().Version || c.Revision < h.confirmed.Revision || c.At.Before(h.confirmed.At) {
+		return
+	}
+	h.confirmed = c
 }
 
-// Age returns the time since the last Confirm; ok is false if there was none.
-func (h *Holder) Age() (age time.Duration, ok bool) {
+// Confirmed returns the latest confirmation. Its version may be older than the one in force.
+func (h *Holder) Confirmed() Confirmation {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.confirmedAt.IsZero() {
+	return h.confirmed
+}
+
+// Age returns the time since the latest confirmation; ok is false if there was none.
+func (h *Holder) Age() (age time.Duration, ok bool) {
+	c := h.Confirmed()
+	if c.At.IsZero() {
 		return 0, false
 	}
-	return h.clock.Since(h.confirmedAt), true
+	return h.clock.Since(c.At), true
 }
 
 // The caller holds mu.
