process/document, process/configpeer: entries have the configuration from each other

Change: the leader alone follows the store; its updates tell the version in force, the store's revision at which it was the newest, and the age of that. An entry with a recent confirmation (1.2 s) does not call the store; without one it watches the store itself, from the confirmed revision. An entry that sees a newer version at the leader, or the leader at a follower, pulls what changed in pages, compressed (zstd), and goes on with the pages that it has when a call fails. An entry that knows of a newer version denies no route (503 instead of 404), and after 2.5 s it is not ready and serves none. A watch whose response has several versions of a large document is given up and the newest one is read. The follower of the document moves to a package of its own; agents and entries with the log of changes pull the same pages, in place of one frame of at most 1 MiB with the document.

--- a/cmd/camphorhead/roles.go
+++ b/cmd/camphorhead/roles.go
@@ -10,6 +10,7 @@
 	adapter "camphorhead.example/camphorhead/platform"
 	"camphorhead.example/camphorhead/process/agent"
 	"camphorhead.example/camphorhead/process/boottime"
+	"camphorhead.example/camphorhead/process/document"
 	"camphorhead.example/camphorhead/process/entry"
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/platform"
@@ -48,7 +49,7 @@
 		Store: adapter.NewStore(addressOf(cfg.Store.URL), cfg.Limits.CallTimeout()),
 	}
 	if cfg.Store.Configuration == settings.ConfigurationDocument {
-		deps.Document = entry.DocumentSource{
+		deps.Document = document.Source{
 			Key: adapter.ManifestKey, Prefix: adapter.ManifestPrefix, Decode: adapter.DecodeManifest,
 		}
 	}
--- a/connection/message/message.go
+++ b/connection/message/message.go
@@ -6,6 +6,8 @@
 package message
 
 import (
+	"time"
+
 	"camphorhead.example/camphorhead/process/timeline"
 	"camphorhead.example/camphorhead/request/outcome"
 	"camphorhead.example/camphorhead/request/resources"
@@ -145,12 +147,24 @@
 	Error *outcome.Error `msgpack:"e,omitempty"`
 }
 
-// Config carries configuration: the deltas that follow version From, or the
-// whole document.
+// ConfigState tells which version of the configuration is in force at the sender. It was the newest
+// one at Revision of the store, AgeMs before the message was sent. Revision 0: the store has not
+// confirmed this version to the sender.
+type ConfigState struct {
+	Version  uint64 `msgpack:"v"`
+	Revision uint64 `msgpack:"r,omitempty"`
+	AgeMs    int64  `msgpack:"a,omitempty"`
+}
+
+// Age returns AgeMs as a duration.
+func (s ConfigState) Age() time.Duration { return time.Duration(s.AgeMs) * time.Millisecond }
+
+// Config carries configuration: the deltas that follow version From, or a page of the changes.
 type Config struct {
-	From     uint64            `msgpack:"f"`
-	Deltas   []profile.Delta   `msgpack:"d,omitempty"`
-	Document *profile.Document `msgpack:"o,omitempty"`
+	From   uint64          `msgpack:"f"`
+	Deltas []profile.Delta `msgpack:"d,omitempty"`
+	Page   []byte          `msgpack:"p,omitempty"` // a profile.Page, as package configpeer encodes it
+	State  ConfigState     `msgpack:"s"`           // at the sender
 }
 
 // ConfigAck is the reply to KindConfig: the version now in force at the receiver.
@@ -158,9 +172,11 @@
 	Version uint64 `msgpack:"v"`
 }
 
-// ConfigPull asks an entry for the configuration that follows Version.
+// ConfigPull asks an entry for the configuration that follows Version: deltas, or the page after a
+// position.
 type ConfigPull struct {
-	Version uint64 `msgpack:"v"`
+	Version uint64         `msgpack:"v"`
+	After   profile.Cursor `msgpack:"c"`
 }
 
 // TimelineReply carries the recorded events of one process.
--- a/connection/message/runs.go
+++ b/connection/message/runs.go
@@ -199,7 +199,7 @@
 	Successor     string        `msgpack:"u,omitempty"`
 	Jobs          []JobUpdate   `msgpack:"j,omitempty"`
 	Waiting       []QueueLength `msgpack:"w,omitempty"`
-	ConfigVersion uint64        `msgpack:"v,omitempty"` // in force at the leader
+	Config        ConfigState   `msgpack:"v"`
 	Entries       []EntryInfo   `msgpack:"e,omitempty"` // without those that drain; empty: not listed
 	Loading       bool          `msgpack:"l,omitempty"` // the leader has not loaded all jobs yet
 	Agents        []Summary     `msgpack:"s,omitempty"` // the changed ones; all if AllAgents is set
@@ -213,8 +213,9 @@
 // Following tells the leader that an entry has begun no newer term when it sent this. Stamp is
 // the latest that it has received in an update of the term; 0: none.
 type Following struct {
-	Term  uint64 `msgpack:"t"`
-	Stamp int64  `msgpack:"z,omitempty"`
+	Term   uint64      `msgpack:"t"`
+	Stamp  int64       `msgpack:"z,omitempty"`
+	Config ConfigState `msgpack:"v"`
 }
 
 // Submitted notifies the leader of a recorded job.
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -16,6 +16,7 @@
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
+	"camphorhead.example/camphorhead/process/configpeer"
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/ledger"
 	"camphorhead.example/camphorhead/process/metrics"
@@ -54,6 +55,7 @@
 	hlc     *timeline.Clock
 	ring    *timeline.Ring
 	config  *holder.Holder
+	puller  *configpeer.Puller
 	ledger  *ledger.Ledger
 	checks  *checks
 	control *control
@@ -89,6 +91,7 @@
 		Listen: cfg.Process.Listen, Hello: a.hello, Key: []byte(string(cfg.Process.Key)),
 		Translate: cfg.Network.DialAddress, Observer: event.NewConnectionLog(a.log), Clock: a.hlc,
 	}, a.pool, handler{a})
+	a.puller = &configpeer.Puller{Call: a.callConfigPull, Holder: a.config, Replace: a.config.Replace}
 	a.checks = newChecks(a)
 	a.control = newControl(a)
 	a.web = newWeb(a)
@@ -234,20 +237,16 @@
 		r.Fail(err)
 		return
 	}
-	a.applyConfig(update)
+	before := a.ConfigVersion()
+	a.reportConfig(before, a.config.Apply(update.Deltas))
 	r.Reply(message.ConfigAck{Version: a.ConfigVersion()})
 }
 
-// applyConfig puts those parts of a received configuration in force that are newer.
-func (a *Agent) applyConfig(update message.Config) {
-	before := a.ConfigVersion()
-	changed := false
-	if update.Document != nil {
-		changed = a.config.Replace(update.Document)
-	}
-	changed = a.config.Apply(update.Deltas) || changed
-	if changed {
-		a.node.TriggerReport() // entries show the lowest version in force at any agent
+// reportConfig logs and reports a version that was put in force: entries show the lowest version
+// in force at any agent.
+func (a *Agent) reportConfig(before uint64, advanced bool) {
+	if advanced {
+		a.node.TriggerReport()
 		a.log.Emit(event.ConfigurationInForce, "version", a.ConfigVersion(), "previous_version", before, "source", "entry")
 	}
 }
--- a/process/agent/node.go
+++ b/process/agent/node.go
@@ -47,15 +47,21 @@
 }
 
 func (a *Agent) pullConfig(ctx context.Context, leader string) {
-	ctx, cancel := context.WithTimeout(ctx, a.cfg.Limits.CallTimeout())
-	defer cancel()
-	var update message.Config
-	err := a.net.Call(ctx, leader, message.KindConfigPull, message.ConfigPull{Version: a.ConfigVersion()}, &update)
+	before := a.ConfigVersion()
+	_, advanced, err := a.puller.Pull(ctx, leader)
 	if err != nil {
 		a.metrics.Add(metrics.ConfigPullsFailed, 1) // the reply to the next report triggers it again
 		return
 	}
-	a.applyConfig(update)
+	a.reportConfig(before, advanced)
+}
+
+func (a *Agent) callConfigPull(ctx context.Context, leader string, pull message.ConfigPull) (message.Config, error) {
+	ctx, cancel := context.WithTimeout(ctx, a.cfg.Limits.CallTimeout())
+	defer cancel()
+	var reply message.Config
+	err := a.net.Call(ctx, leader, message.KindConfigPull, pull, &reply)
+	return reply, err
 }
 
 // summary returns the current state of the worker and its targets, see runs.Config.Summary.
--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -6,6 +6,8 @@
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
+	"camphorhead.example/camphorhead/process/configpeer"
+	"camphorhead.example/camphorhead/process/document"
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/version/profile"
@@ -51,17 +53,51 @@
 	}
 }
 
+// observeConfig takes the state of the configuration at another entry, and pulls it if it is newer.
+func (e *Entry) observeConfig(address string, s message.ConfigState) {
+	if e.document != nil {
+		e.document.Observe(address, s)
+		return
+	}
+	if s.Version <= e.ConfigVersion() {
+		return
+	}
+	if err := e.waitPool.Submit(func(ctx context.Context) { e.pullConfig(ctx, address) }); err != nil {
+		e.metrics.Add(metrics.ConfigPullsRefused, 1) // the next message triggers it again
+	}
+}
+
 // pullConfig requests the changes that this process lacks from the process at address.
 func (e *Entry) pullConfig(ctx context.Context, address string) {
-	ctx, cancel := e.callContext(ctx)
-	defer cancel()
-	var pushed message.Config
-	err := e.net.Call(ctx, address, message.KindConfigPull, message.ConfigPull{Version: e.ConfigVersion()}, &pushed)
-	if err != nil {
-		e.metrics.Add(metrics.ConfigPullsFailed, 1) // the next update from the leader triggers another pull
+	before := e.ConfigVersion()
+	if _, _, err := e.puller.Pull(ctx, address); err != nil {
+		e.metrics.Add(metrics.ConfigPullsFailed, 1) // the next message of the leader triggers another pull
 		return
 	}
-	e.putInForce(pushed, address)
+	e.announceConfig(before, address)
+}
+
+func (e *Entry) callConfigPull(ctx context.Context, address string, pull message.ConfigPull) (message.Config, error) {
+	ctx, cancel := e.callContext(ctx)
+	defer cancel()
+	var reply message.Config
+	err := e.net.Call(ctx, address, message.KindConfigPull, pull, &reply)
+	return reply, err
+}
+
+// newDocumentFollower returns the follower of the operators' document, by which this entry also has
+// it from other entries.
+func (e *Entry) newDocumentFollower() *document.Follower {
+	e.puller.Replace = e.config.ReplaceByOperators
+	return document.New(document.Config{
+		Source: e.deps.Document, Store: e.store, Holder: e.config, Clock: e.clock, Log: e.log, Metrics: e.metrics,
+		Puller: e.puller, Submit: e.waitPool.Submit,
+		Leads: func() bool {
+			leads, _ := e.node.Leads()
+			return leads
+		},
+		OnStoreResult: e.recordStoreResult, OnInForce: func() { e.node.AnnounceConfig() },
+	})
 }
 
 // watchConfig follows the configuration log in the store until runCtx ends.
@@ -116,29 +152,32 @@
 }
 
 // pushTo sends one peer the latest change, then all that its reply shows it to lack. It does not
-// wait for that: a peer that misses the push pulls once a message of the leader shows the version.
+// wait for that. A peer that misses the push, or lacks changes that are not kept, pulls once a
+// message of the leader shows the version.
 func (e *Entry) pushTo(ctx context.Context, c *peer.Conn) {
-	remote := c.Remote()
-	if remote == nil {
+	if c.Remote() == nil {
+		return
+	}
+	latest, ok := e.deltasSince(e.ConfigVersion() - 1)
+	if !ok {
 		return
 	}
-	update := e.configSince(e.ConfigVersion() - 1)
 	_ = e.waitPool.Submit(func(ctx context.Context) {
 		ctx, cancel := e.callContext(ctx)
 		defer cancel()
 		var ack message.ConfigAck
-		if c.Call(ctx, message.KindConfig, update, &ack) == nil && ack.Version < e.ConfigVersion() {
-			_ = c.Call(ctx, message.KindConfig, e.configSince(ack.Version), &ack)
+		if c.Call(ctx, message.KindConfig, latest, &ack) != nil || ack.Version >= e.ConfigVersion() {
+			return
+		}
+		if missing, ok := e.deltasSince(ack.Version); ok {
+			_ = c.Call(ctx, message.KindConfig, missing, &ack)
 		}
 	})
 }
 
-// configSince returns the deltas after a version, or the whole document if they are not kept.
-func (e *Entry) configSince(version uint64) message.Config {
-	if deltas, ok := e.config.Since(version); ok {
-		return message.Config{From: version, Deltas: deltas}
-	}
-	return message.Config{Document: e.config.Document()}
+func (e *Entry) deltasSince(version uint64) (message.Config, bool) {
+	deltas, ok := e.config.Since(version)
+	return message.Config{From: version, Deltas: deltas, State: configpeer.State(e.config, e.clock)}, ok
 }
 
 // applyConfig serves a push of configuration by another entry.
@@ -148,17 +187,10 @@
 		r.Fail(err)
 		return
 	}
-	e.putInForce(pushed, r.Conn.Remote().ID)
-	r.Reply(message.ConfigAck{Version: e.ConfigVersion()})
-}
-
-func (e *Entry) putInForce(pushed message.Config, source string) {
 	before := e.ConfigVersion()
-	if pushed.Document != nil {
-		e.config.Replace(pushed.Document)
-	}
 	e.config.Apply(pushed.Deltas)
-	e.announceConfig(before, source)
+	e.announceConfig(before, r.Conn.Remote().ID)
+	r.Reply(message.ConfigAck{Version: e.ConfigVersion()})
 }
 
 func (e *Entry) serveConfig(r peer.Request) {
@@ -167,7 +199,12 @@
 		r.Fail(err)
 		return
 	}
-	r.Reply(e.configSince(pull.Version))
+	reply, err := e.configPeers.Serve(pull)
+	if err != nil {
+		r.Fail(err)
+		return
+	}
+	r.Reply(reply)
 }
 
 func (e *Entry) otherEntries() []message.EntryInfo {
--- a/process/entry/history_test.go
+++ b/process/entry/configlog_test.go
@@ -41,33 +41,17 @@
 	return nil, after, nil
 }
 
-// Guards against an entry that reads the whole document again and again, because it watches from
-// the document's own revision, which the store has forgotten.
-func TestConfigurationIsReadOnceWithoutHistory(t *testing.T) {
-	store := &compactedStore{value: []byte("1")}
-	requireReadOnce(t, store, func(e *Entry) {
-		e.followDocument(DocumentSource{Key: "k", Prefix: "k", Decode: decodeVersion})
-	})
-}
-
 // Guards against an entry that calls the store without pause, because it watches from the head's
 // own revision, which the store has forgotten.
 func TestConfigurationLogIsReadOnceWithoutHistory(t *testing.T) {
 	store := &compactedStore{value: []byte{0x81, 0xa1, 'v', 0}} // a head of version 0
-	requireReadOnce(t, store, (*Entry).watchConfig)
-}
-
-// requireReadOnce runs follow, which ends with the entry, for several times the pause after a
-// failed call.
-func requireReadOnce(t *testing.T, store *compactedStore, follow func(*Entry)) {
-	t.Helper()
 	run, cancel := context.WithCancel(t.Context())
 	clock := clockwork.NewRealClock()
 	e := &Entry{store: store, clock: clock, config: holder.New(clock), metrics: metrics.New(), runCtx: run, watchDone: make(chan struct{})}
 	e.configLog = configlog.New(store, e.config, clock)
 	e.cfg.Limits = settings.Limits{CallTimeoutMs: 700}
-	go follow(e)
-	require.Never(t, func() bool { return store.reads.Load() > 1 }, 5*documentRetryPause, 10*time.Millisecond)
+	go e.watchConfig()
+	require.Never(t, func() bool { return store.reads.Load() > 1 }, 2*storeBackoff, 10*time.Millisecond)
 	cancel()
 	<-e.watchDone
 	require.EqualValues(t, 1, store.reads.Load())
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -19,6 +19,8 @@
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
 	"camphorhead.example/camphorhead/process/configlog"
+	"camphorhead.example/camphorhead/process/configpeer"
+	"camphorhead.example/camphorhead/process/document"
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/fleet"
 	"camphorhead.example/camphorhead/process/jobstore"
@@ -60,7 +62,7 @@
 	Delays routing.Settings
 	// Document is set if operators write the configuration to the store themselves.
 	// Its zero value selects the log of changes (package configlog).
-	Document DocumentSource
+	Document document.Source
 	// JobsHandler returns the handler of the jobs listener; nil: there is no such listener.
 	JobsHandler func(*Entry) fasthttp.RequestHandler
 }
@@ -80,7 +82,10 @@
 	hlc         *timeline.Clock
 	ring        *timeline.Ring
 	config      *holder.Holder
+	configPeers *configpeer.Server
+	puller      *configpeer.Puller
 	configLog   *configlog.Log
+	document    *document.Follower // nil unless operators write the configuration themselves
 	fleet       *fleet.Fleet
 	links       *fleet.Links
 	router      *router
@@ -133,6 +138,11 @@
 	}, e.pool, handler{e})
 	e.router = newRouter(e, deps.Delays)
 	e.web = newWeb(e)
+	e.configPeers = configpeer.NewServer(e.config, e.clock)
+	e.puller = &configpeer.Puller{Call: e.callConfigPull, Holder: e.config, Replace: e.config.Replace}
+	if deps.Document.Key != "" {
+		e.document = e.newDocumentFollower()
+	}
 	e.node = e.newNode()
 	e.registerMetrics()
 	return e
@@ -151,8 +161,11 @@
 		return err
 	}
 	e.running.Store(true)
-	if e.deps.Document.Key != "" {
-		go e.followDocument(e.deps.Document)
+	if e.document != nil {
+		go func() {
+			defer close(e.watchDone)
+			e.document.Run(e.runCtx)
+		}()
 	} else {
 		go e.watchConfig()
 	}
--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/errs"
 
 	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/process/configpeer"
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/lead"
 	"camphorhead.example/camphorhead/process/metrics"
@@ -46,20 +47,11 @@
 			return p, ok
 		},
 		Teams:     func() map[string]profile.Team { return e.config.Document().Teams },
-		AdmitLink: e.admitOrders, OnAgentsChanged: e.fleet.Apply, ConfigVersion: e.ConfigVersion, OnNewerConfig: e.onNewerConfig(),
+		AdmitLink: e.admitOrders, OnAgentsChanged: e.fleet.Apply,
+		ConfigState: func() message.ConfigState { return configpeer.State(e.config, e.clock) }, OnConfigState: e.observeConfig,
 	})
 }
 
-// onNewerConfig returns the callback for a newer configuration in force at the leader. It is
-// nil if operators write the document: all processes then read it from the store alone, so
-// that they follow the same source.
-func (e *Entry) onNewerConfig() func(ctx context.Context, address string) {
-	if e.deps.Document.Key != "" {
-		return nil
-	}
-	return e.pullConfig
-}
-
 // admitOrders takes the bytes of orders for another region from this entry's share
 // of the link, with the priority of proof data. It returns false if they must wait.
 func (e *Entry) admitOrders(region string, bytes int) bool {
@@ -154,11 +146,14 @@
 }
 
 // readyForJobs reports whether the balancer should select this entry: it is not
-// stopping or draining, has a configuration, and its node is in service.
+// stopping or draining, has a configuration that is not outdated, and its node is in service.
 func (e *Entry) readyForJobs() bool {
-	return e.ready.Load() && e.ConfigVersion() != 0 && e.node.InService()
+	return e.ready.Load() && e.ConfigVersion() != 0 && !e.outdated() && e.node.InService()
 }
 
+// outdated reports whether this entry has known too long of a newer configuration.
+func (e *Entry) outdated() bool { return e.document != nil && e.document.Outdated() }
+
 // serveReady serves the readiness check: 200 if ready for jobs, else 503.
 func (e *Entry) serveReady(ctx *fasthttp.RequestCtx) {
 	if !e.readyForJobs() {
@@ -167,11 +162,13 @@
 }
 
 // Route implements Jobs of the top-level package platform. It selects the profile of the
-// host that has the longest matching path prefix.
+// host that has the longest matching path prefix. An entry that knows that its configuration is not
+// the newest one denies no route, and after some time serves none: the caller can try another entry.
 func (e *Entry) Route(host, path string) (p profile.Profile, rest string, configured, ok bool) {
 	doc := e.config.Document()
 	p, rest, ok = doc.Route(host, path)
-	return p, rest, doc.Version != 0, ok
+	configured = doc.Version != 0 && !e.outdated() && (ok || e.document == nil || e.document.Current())
+	return p, rest, configured, ok
 }
 
 // Submit implements Jobs of the top-level package platform.
--- a/process/lead/candidates.go
+++ b/process/lead/candidates.go
@@ -38,14 +38,15 @@
 
 // recordFollowing records that a follower has begun no newer term when it received the stamp.
 // The time of arrival shows less: the message may have been on its way, or this process
-// paused, while the follower began the next term.
-func (l *leaderTerm) recordFollowing(conn *peer.Conn, stamp int64) {
+// paused, while the follower began the next term. It returns the address of the follower; empty if
+// the connection is not that of one.
+func (l *leaderTerm) recordFollowing(conn *peer.Conn, stamp int64) (address string) {
 	now := l.node.cfg.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	f := l.mu.followers[conn]
 	if f == nil {
-		return
+		return ""
 	}
 	f.receivedAt = now
 	c, isCandidate := l.mu.candidates[f.Entry.ID]
@@ -53,6 +54,7 @@
 		c.followedAt = at
 		l.mu.candidates[f.Entry.ID] = c
 	}
+	return f.Entry.Address
 }
 
 // confirmTerm confirms the term as of the last time at which all candidates followed it, at most
--- a/process/lead/followers.go
+++ b/process/lead/followers.go
@@ -62,7 +62,7 @@
 func (l *leaderTerm) newUpdate() message.Update {
 	return message.Update{
 		Term: l.number, Heartbeat: l.heartbeat.Load(), Degraded: l.degraded.Load(), Loading: !l.loaded.Load(),
-		ConfigVersion: l.node.cfg.ConfigVersion(),
+		Config: l.node.cfg.ConfigState(),
 	}
 }
 
@@ -120,7 +120,7 @@
 	if reply.LeaseMs == 0 && !reply.LeasePending {
 		return reply
 	}
-	reply.ConfigVersion = l.node.cfg.ConfigVersion()
+	reply.ConfigVersion = l.node.cfg.ConfigState().Version
 	if sendEntries {
 		for _, info := range l.entryList() {
 			reply.Entries = append(reply.Entries, info.Address)
--- a/process/lead/handle.go
+++ b/process/lead/handle.go
@@ -82,7 +82,7 @@
 
 func (n *Node) handleFollowing(r peer.Request, f *message.Following) {
 	if l := n.ownTerm.Load(); l != nil && l.number == f.Term {
-		l.recordFollowing(r.Conn, f.Stamp)
+		n.observeConfig(l.recordFollowing(r.Conn, f.Stamp), f.Config)
 	}
 }
 
--- a/process/lead/leader_conn.go
+++ b/process/lead/leader_conn.go
@@ -7,7 +7,6 @@
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
-	"camphorhead.example/camphorhead/process/metrics"
 	"camphorhead.example/camphorhead/process/term"
 	"camphorhead.example/camphorhead/request/outcome"
 )
@@ -71,6 +70,7 @@
 	}
 	n.mu.Unlock()
 	if following != nil {
+		following.Config = n.cfg.ConfigState()
 		_ = conn.Notify(message.KindFollowing, following) // the next one replaces a lost one
 	}
 	if dial {
@@ -204,12 +204,7 @@
 	n.mu.Unlock()
 	n.states.apply(u.Jobs, u.Waiting)
 	n.notifyAgentsChanged(u.Agents, u.RemovedAgents, u.AllAgents)
-	if n.cfg.OnNewerConfig == nil || address == "" || u.ConfigVersion <= n.cfg.ConfigVersion() {
-		return
-	}
-	if err := n.cfg.Pool.Submit(func(ctx context.Context) { n.cfg.OnNewerConfig(ctx, address) }); err != nil {
-		n.cfg.Metrics.Add(metrics.ConfigPullsRefused, 1) // the next update tries again
-	}
+	n.observeConfig(address, u.Config)
 }
 
 func submittedKey(id string) string { return "submitted " + id }
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -84,10 +84,11 @@
 	// OnAgentsChanged is called with the summaries that changed and the ids of removed
 	// agents; if all is set, changed holds the summaries of all agents. nil ignores changes.
 	OnAgentsChanged func(changed []message.Summary, removed []string, all bool)
-	ConfigVersion   func() uint64 // version of the configuration in force
-	// OnNewerConfig is called on the pool with the address of a leader that has a newer
-	// configuration version in force; nil ignores that.
-	OnNewerConfig func(ctx context.Context, address string)
+	// ConfigState returns the state of the configuration in force.
+	ConfigState func() message.ConfigState
+	// OnConfigState is called with the state of the configuration at the leader that this process
+	// follows or, if it leads, at a follower. It must not block. nil ignores it.
+	OnConfigState func(address string, s message.ConfigState)
 }
 
 const (
@@ -233,6 +234,28 @@
 	}
 }
 
+// AnnounceConfig sends the state of the configuration to the followers, or to the leader, within a
+// tick. It is called when a version has been put in force.
+func (n *Node) AnnounceConfig() {
+	if l := n.ownTerm.Load(); l != nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.mu.lastUpdate = time.Time{}
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leader != nil {
+		n.leader.reportedAt = time.Time{}
+	}
+}
+
+func (n *Node) observeConfig(address string, s message.ConfigState) {
+	if n.cfg.OnConfigState != nil && address != "" {
+		n.cfg.OnConfigState(address, s)
+	}
+}
+
 // Leads reports whether this process leads, and the number of the newest term known.
 func (n *Node) Leads() (leads bool, number uint64) {
 	n.mu.Lock()
--- a/process/lead/processes_test.go
+++ b/process/lead/processes_test.go
@@ -139,7 +139,7 @@
 	workers := pool.New(2, 64)
 	n := New(Config{
 		Self: func() message.EntryInfo { return self }, Clock: clock, Store: store, Pool: workers, Metrics: metrics.New(),
-		ConfigVersion: func() uint64 { return 1 }, Timing: testTiming,
+		ConfigState: func() message.ConfigState { return message.ConfigState{Version: 1} }, Timing: testTiming,
 	})
 	t.Cleanup(func() {
 		n.storePool.Close()
--- a/process/lockrank/rank.go
+++ b/process/lockrank/rank.go
@@ -10,6 +10,7 @@
 
 // The lock order table; docs/design.md lists what each lock guards.
 const (
+	RankConfigPages Rank = 15
 	RankConfig      Rank = 20
 	RankMembership  Rank = 30
 	RankSessions    Rank = 35
--- a/process/metrics/catalogue.go
+++ b/process/metrics/catalogue.go
@@ -144,7 +144,7 @@
 	LinkBytes:            {"link", Counter, "bytes", "", "Bytes of checks and orders that this entry has sent to other regions."},
 	ConfigPullsFailed:    {"config_pulls_failed", Counter, "", "", "Reads of a newer configuration that failed and are repeated."},
 	ConfigPullsRefused:   {"config_pulls_refused", Counter, "", "", "Reads of a newer configuration that were refused because the queue of the pool was full."},
-	DocumentReads:        {"document_reads", Counter, "", "reason", "Reads of the operators' whole configuration, by reason: start, failure, history."},
+	DocumentReads:        {"document_reads", Counter, "", "reason", "Reads of the operators' whole configuration, by reason: start, failure, history (the store has no history), versions (a response has several versions)."},
 	DocumentBytes:        {"document", Counter, "bytes", "", "Bytes received from the store by reads and watches of the operators' configuration."},
 	ConfigVersion:        {"config_version", Gauge, "", "", "Configuration version in force."},
 	ConfigAge:            {"config_age", Gauge, "seconds", "", "Time since the store last confirmed the version in force as the newest."},
--- a/process/platform/platform.go
+++ b/process/platform/platform.go
@@ -20,6 +20,8 @@
 	// ErrCompacted reports that the store no longer has the requested changes. The caller
 	// lists the keys and continues from the revision of the list.
 	ErrCompacted = errs.New("platform: the store no longer has the requested changes")
+	// ErrTooLarge reports a response that is larger than Transfer.MaxBytes. The call had no effect.
+	ErrTooLarge = errs.New("platform: response is larger than the caller takes")
 )
 
 const (
--- a/process/platform/transfer.go
+++ b/process/platform/transfer.go
@@ -9,6 +9,9 @@
 // tells a server that does not respond from a response that is too large for the time of the
 // call.
 type Transfer struct {
+	// MaxBytes is set before the call: a larger response fails with ErrTooLarge, before it is
+	// received if its size is known. 0: there is no such limit.
+	MaxBytes      int64
 	ReceivedBytes int64
 	Duration      time.Duration // from the headers of the response to the last byte or the failure
 }
--- a/version/holder/pages_test.go
+++ b/version/holder/pages_test.go
@@ -14,7 +14,7 @@
 )
 
 // longHost makes profiles so large that a page has two of them.
-var longHost = strings.Repeat("h", 25<<10)
+var longHost = strings.Repeat("h", 100<<10)
 
 // content is a version of the operators' document: the priority of each profile by name.
 type content map[string]int
--- a/version/profile/page.go
+++ b/version/profile/page.go
@@ -7,9 +7,9 @@
 	"github.com/zeebo/errs"
 )
 
-// pageBytes is the approximate size of the largest page. A process on a link of 2 Mbit/s receives
-// one in 0.3 s, within the timeout of a call.
-const pageBytes = 64 << 10
+// pageBytes is the approximate size of the largest page. Even if it does not compress, a process on
+// a link of 10 Mbit/s receives one in 0.2 s, within the timeout of a call.
+const pageBytes = 256 << 10
 
 // profileBytes is the approximate encoded size of a profile without its texts.
 const profileBytes = 64
