process/document: a confirmed entry goes on calling a store that has failed

Cause: an entry whose call had failed stopped calling the store once the leader confirmed its version, so store_available was not logged and dependency_up stayed 0 for good. Change: after a failed call an entry watches the store until a call succeeds. Result: TestEndOfAnOutageIsSeenByAConfirmedEntry passes. Without the change it was not run; found by reading.

--- a/process/document/follow.go
+++ b/process/document/follow.go
@@ -52,9 +52,11 @@
 	l := &loop{Follower: f}
 	for reason := readAtStart; ctx.Err() == nil; {
 		if rest := l.confirmedFor(); rest > 0 {
-			l.pause(ctx, rest)
 			reason = noRead
-			continue
+			if l.failures == 0 { // else only a call shows that the store serves this entry again
+				l.pause(ctx, rest)
+				continue
+			}
 		}
 		err := l.call(ctx, reason)
 		reason = l.nextRead(ctx, reason, err)
--- a/process/document/follow_test.go
+++ b/process/document/follow_test.go
@@ -39,7 +39,9 @@
 	*Follower
 	holder *holder.Holder
 	leads  atomic.Bool
-	call   func(ctx context.Context, address string, pull message.ConfigPull) (message.Config, error)
+	// storeFails is set while the latest call to the store has failed.
+	storeFails atomic.Bool
+	call       func(ctx context.Context, address string, pull message.ConfigPull) (message.Config, error)
 }
 
 // startEntry runs a follower of the store until the end of the test.
@@ -56,7 +58,8 @@
 			},
 			Holder: e.holder, Replace: e.holder.ReplaceByOperators,
 		},
-		Submit: workers.Submit, Leads: e.leads.Load, OnStoreResult: func(string, error) {}, OnInForce: func() {},
+		Submit: workers.Submit, Leads: e.leads.Load,
+		OnStoreResult: func(_ string, err error) { e.storeFails.Store(err != nil) }, OnInForce: func() {},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
@@ -268,6 +271,24 @@
 	require.True(t, e.Current())
 }
 
+// Guards against an entry that reports an outage of the store for good, because the leader confirms
+// its version from the end of the outage on.
+func TestEndOfAnOutageIsSeenByAConfirmedEntry(t *testing.T) {
+	store := newTestStore()
+	e := startEntry(t, store)
+	e.requireVersion(t, 1, applyBound)
+	store.down.Store(true)
+	require.Eventually(t, e.storeFails.Load, applyBound, testPoll)
+	confirmed := store.state()
+	confirm := func() { e.Observe("leader", confirmed) }
+	confirm()
+	store.down.Store(false)
+	require.Eventually(t, func() bool {
+		confirm()
+		return !e.storeFails.Load()
+	}, applyBound, testPoll)
+}
+
 // Guards against an entry that serves by a version, or denies a route, long after it has learned
 // that there is a newer one which it does not get.
 func TestOutdatedWhenANewerVersionIsOutOfReach(t *testing.T) {
