process/entry: read the configuration log without a time limit

An entry that needs it would never have a configuration. Change: Refresh runs without a deadline, so that its calls are bounded by progress. Result: go test -race ./process/entry passes.

--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -106,7 +106,7 @@
 	var since uint64
 	for e.runCtx.Err() == nil {
 		before := e.ConfigVersion()
-		revision, err := e.refreshConfig()
+		revision, err := e.configLog.Refresh(e.runCtx) // without a time limit: the snapshot may be large
 		e.recordStoreResult("read configuration", err)
 		if err != nil {
 			e.pause(storeBackoff)
@@ -122,12 +122,6 @@
 	}
 }
 
-func (e *Entry) refreshConfig() (revision uint64, err error) {
-	ctx, cancel := e.callContext(e.runCtx)
-	defer cancel()
-	return e.configLog.Refresh(ctx)
-}
-
 func (e *Entry) pause(d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
