--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -217,7 +217,8 @@
 }
 
 // CallTimeout returns the timeout of a call to another process, the store, a worker or
-// a target, unless the call has an earlier deadline.
+// a target, unless the call has an earlier deadline. For reads of the store that may be
+// large it is the longest time without progress.
 func (l Limits) CallTimeout() time.Duration { return milliseconds(l.CallTimeoutMs) }
 
 // Network describes the network between the processes.
--- a/version/profile/page.go
+++ b/version/profile/page.go
@@ -120,7 +120,7 @@
 		if len(p.Profiles) == 0 {
 			return nil, errs.New("page has no content")
 		}
-		return nil, nil //nolint:nilnil // more pages follow
+		return nil, nil // more pages follow
 	}
 	return a.document(p)
 }
