version/holder: order confirmations by the store's revision

Cause: the time of a confirmation by another entry is an estimate (its age, and the time of arrival). The confirmation of a newer version could seem older than that of the one before, and was dropped: the entry then watched from an old position, which the store had forgotten, and read the whole document. Change: a later revision counts whatever its time; times decide between equal revisions only.

--- a/version/holder/holder.go
+++ b/version/holder/holder.go
@@ -172,11 +172,14 @@
 	h.ConfirmAt(Confirmation{Version: h.Document().Version, At: h.clock.Now()})
 }
 
-// ConfirmAt records a confirmation of the version in force, unless a later one is known.
+// ConfirmAt records a confirmation of the version in force, unless a later one is known. Revisions of
+// the store tell which one is later: the times of confirmations by other processes are estimates.
 func (h *Holder) ConfirmAt(c Confirmation) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if c.Version != h.current.Load().Version || c.Revision < h.confirmed.Revision || c.At.Before(h.confirmed.At) {
+	known := h.confirmed
+	if c.Version != h.current.Load().Version || c.Revision < known.Revision ||
+		c.Version == known.Version && c.Revision == known.Revision && c.At.Before(known.At) {
 		return
 	}
 	h.confirmed = c
