process/document: a test must not observe a version that it has not written yet

Cause: TestConfirmedEntryDoesNotCallTheStore panicked once in four runs of the package, and in four of six repeated runs: the condition of require.Never may run once more after Never has returned, and then observed the version that the test had just written, for which it had set no source. Change: the state that is observed is fixed before. The check is as before.

--- a/process/document/follow_test.go
+++ b/process/document/follow_test.go
@@ -215,8 +215,10 @@
 	store := newTestStore()
 	e := startEntry(t, store)
 	e.requireVersion(t, 1, applyBound)
+	confirmed := store.state()
 	confirm := func() bool {
-		e.Observe("leader", store.state())
+		// Never may call this once more after it has returned, so the state must not change.
+		e.Observe("leader", confirmed)
 		return false
 	}
 	confirm()
@@ -224,10 +226,9 @@
 	require.Never(t, confirm, 2*confirmationLifetime, confirmationLifetime/10)
 	require.LessOrEqual(t, store.calls.Load()-before, int64(1), "at most the call that was in progress")
 
-	stale := store.state()
 	store.write(2)
 	require.Eventually(t, func() bool {
-		e.Observe("leader", message.ConfigState{Version: stale.Version, Revision: stale.Revision, AgeMs: confirmationLifetime.Milliseconds()})
+		e.Observe("leader", message.ConfigState{Version: confirmed.Version, Revision: confirmed.Revision, AgeMs: confirmationLifetime.Milliseconds()})
 		return e.version() == 2
 	}, applyBound, testPoll, "the leader does not reach the store any more")
 }
