--- a/process/document/document.go
+++ b/process/document/document.go
@@ -36,7 +36,8 @@
 	// confirmationLifetime is how long an entry takes the version in force as the newest after a
 	// confirmation. The leader renews it about every 0.5 s, and a change must be in force within 3 s.
 	confirmationLifetime = 1200 * time.Millisecond
-	// outdatedLimit is how long an entry serves by a version that it knows is not the newest one.
+	// outdatedLimit is how long an entry serves by a version that it knows is not the newest one. Its
+	// readiness check has to fail before the 3 s are over.
 	outdatedLimit = 2500 * time.Millisecond
 )
 
