request/interference: Decide leaves the pace of filling tasks to Guard

Cause: the pace of a filling task had two owners. Guard pauses it while a serving task beside it has been over its target for long; the control loop of the agent took a task at 0 percent for a throttled one and lifted it to 10 percent after 30 s of low slowdown, the first time 30 s after the start of the process. Change: filling tasks are marked as guarded in the input of Decide, which neither throttles nor lifts them; it still moves one before memory runs out.

--- a/process/agent/listing.go
+++ b/process/agent/listing.go
@@ -67,7 +67,7 @@
 		}
 		in.Tasks = append(in.Tasks, interference.Task{
 			ID: t.Key.Task.String(), Run: t.Key.Run, Profile: t.Order.Profile, Declared: t.Order.Charge, Use: t.Usage, ThrottlePct: t.PacePct,
-			Started: t.StartedAt, Score: score(t.Order.Profile), EvictionsLeft: t.Order.EvictionsLeft,
+			Started: t.StartedAt, Score: score(t.Order.Profile), EvictionsLeft: t.Order.EvictionsLeft, Guarded: t.Order.Fills,
 		})
 	}
 	return in
--- a/request/interference/decide.go
+++ b/request/interference/decide.go
@@ -52,6 +52,9 @@
 	// Score is the learned rise of Input.Ratio by this task at full speed; 0 if unknown.
 	Score         float64
 	EvictionsLeft int // of the job's eviction budget
+	// Guarded marks a filling task: Guard alone sets its limit, so Decide only moves it to
+	// free memory. A lift by Decide would undo a pause by Guard.
+	Guarded bool
 }
 
 // Input is one measurement of the worker.
--- a/request/interference/latency.go
+++ b/request/interference/latency.go
@@ -79,6 +79,9 @@
 // unless the slowdown is severe.
 func throttleForLatency(cfg Config, in Input) Action {
 	t, ok := pick(in.Tasks, func(t Task) float64 {
+		if t.Guarded {
+			return 0
+		}
 		return expectedScore(in, t) * float64(t.ThrottlePct-cfg.MinThrottlePct)
 	})
 	if !ok {
@@ -110,7 +113,7 @@
 		return Action{}
 	}
 	t, ok := pick(in.Tasks, func(t Task) float64 {
-		if t.ThrottlePct > cfg.MinThrottlePct || t.EvictionsLeft <= 0 || in.Now.Sub(t.Started) < cfg.MinRunTime {
+		if t.Guarded || t.ThrottlePct > cfg.MinThrottlePct || t.EvictionsLeft <= 0 || in.Now.Sub(t.Started) < cfg.MinRunTime {
 			return 0
 		}
 		return expectedScore(in, t)
@@ -127,7 +130,7 @@
 	percent := 0
 	for _, t := range in.Tasks {
 		lifted := liftedPct(cfg, in, s, t)
-		if lifted <= t.ThrottlePct {
+		if t.Guarded || lifted <= t.ThrottlePct {
 			continue
 		}
 		if percent == 0 || t.Score < best.Score || (t.Score == best.Score && t.Started.Before(best.Started)) {
--- a/request/interference/memory.go
+++ b/request/interference/memory.go
@@ -28,7 +28,7 @@
 		}
 	}
 	overruns := func(t Task) bool {
-		return t.ThrottlePct > cfg.MinThrottlePct && t.Use.MemoryMB > t.Declared.MemoryMB
+		return !t.Guarded && t.ThrottlePct > cfg.MinThrottlePct && t.Use.MemoryMB > t.Declared.MemoryMB
 	}
 	if t, ok := pickByMemory(in, overruns); ok && share < cfg.MemoryCritical {
 		return throttle(cfg, t, t.ThrottlePct/2)
