process/fleet, process/schedule: give orders their own share of the link

Cause: on the large site the start orders for agents of the other region waited for seconds at the leader. An entry's budget for the link between regions was 30 Mbit/s divided by the entries of its region, which is for requests that every entry sends; but only the leader sends orders, and with 27 entries a region it had 140 KB/s for 300 starts a second. Ruled out: delay of the frames (reports and their replies went through meanwhile), the agent's calls to the worker (a start takes 1 to 2 ms). Change: half of the link is for orders, all of it the leader's; the other half is divided among the entries for requests. Stops and descriptions of runs are sent at once; starts wait in turn.

--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -52,21 +52,20 @@
 	})
 }
 
-// admitOrders takes the bytes of orders for another region from this entry's share
-// of the link, with the priority of proof data. It returns false if they must wait.
+// admitOrders takes the bytes of orders for another region from the leader's share of the link.
+// It returns false if they must wait.
 func (e *Entry) admitOrders(region string, bytes int) bool {
 	if region == e.cfg.Process.Region {
 		return true
 	}
-	admitted := e.links.Admit(region, routing.ClassProof, bytes).Admit
+	admitted := e.links.AdmitOrders(region, bytes)
 	if admitted {
 		e.metrics.Add(metrics.LinkBytes, int64(bytes))
 	}
 	return admitted
 }
 
-// updateLinkRates sets this entry's share of the links to the other regions: the rate divided by
-// the entries of its own region. It also removes agents that the leader has not listed for long.
+// updateLinkRates sets this entry's shares of the links to the other regions. It also removes agents that the leader has not listed for long.
 func (e *Entry) updateLinkRates(context.Context) {
 	e.fleet.Sweep()
 	ownRegionEntries, otherRegions := 1, map[string]bool{}
@@ -77,9 +76,9 @@
 			otherRegions[info.Location.Region] = true
 		}
 	}
-	rate := e.cfg.Network.LinkMbit * bitsPerMbit / bitsPerByte / int64(ownRegionEntries)
+	requests, orders := routing.LinkShares(e.cfg.Network.LinkMbit*bitsPerMbit/bitsPerByte, ownRegionEntries)
 	for region := range otherRegions {
-		e.links.SetRate(region, rate)
+		e.links.SetRates(region, requests, orders)
 	}
 }
 
--- a/process/schedule/orders.go
+++ b/process/schedule/orders.go
@@ -1,25 +1,48 @@
 package schedule
 
 import (
+	"cmp"
+	"slices"
+	"time"
+
 	"camphorhead.example/camphorhead/connection/message"
 )
 
-// takeOrders returns the unsent orders and clears them. All orders of an agent wait while
-// the link to its region does not admit its start orders.
+// takeOrders returns the unsent orders and clears them. The start orders of an agent wait while
+// the link to its region does not admit them, those that have waited longest are sent first; all
+// other orders are sent at once.
 func (t *Table) takeOrders() []AgentOrders {
-	var list []AgentOrders
+	var due []*agentState
 	for _, a := range t.agents {
-		if len(a.pendingStarts) == 0 && len(a.pendingStops) == 0 && len(a.pendingAdopted) == 0 {
-			continue
+		if len(a.pendingStarts) > 0 || len(a.pendingStops) > 0 || len(a.pendingAdopted) > 0 {
+			due = append(due, a)
 		}
-		if t.cfg.AdmitLink != nil && len(a.pendingStarts) > 0 && !t.cfg.AdmitLink(a.location.Region, a.pendingStartBytes()) {
-			continue // the worker's capacity stays reserved for the runs meanwhile
+	}
+	slices.SortFunc(due, func(a, b *agentState) int {
+		return cmp.Or(a.waitsSince().Compare(b.waitsSince()), cmp.Compare(a.id, b.id))
+	})
+	var list []AgentOrders
+	for _, a := range due {
+		starts := a.pendingStarts
+		if t.cfg.AdmitLink != nil && len(starts) > 0 && !t.cfg.AdmitLink(a.location.Region, a.pendingStartBytes()) {
+			a.pendingStarts = nil // the worker's capacity stays reserved for the runs meanwhile
+			list = append(list, t.takeAgentOrders(a)...)
+			a.pendingStarts = starts
+			continue
 		}
 		list = append(list, t.takeAgentOrders(a)...)
 	}
 	return list
 }
 
+// waitsSince returns when the first of the unsent starts was ordered; zero if there are none.
+func (a *agentState) waitsSince() time.Time {
+	if len(a.pendingStarts) == 0 {
+		return time.Time{}
+	}
+	return a.pendingStarts[0].orderedAt
+}
+
 // maxOrdersBytes is the estimated size at which the orders of an agent go on in another message.
 // It leaves room in a frame of 1 MiB for the largest input of a job, 256 KiB.
 const maxOrdersBytes = 512 << 10
@@ -28,6 +51,9 @@
 // and clears them.
 func (t *Table) takeAgentOrders(a *agentState) []AgentOrders {
 	first := AgentOrders{Agent: a.id, Orders: message.Orders{Term: t.cfg.Term, Session: a.session, Recorded: a.durableSerial}}
+	if len(a.pendingStarts) == 0 && len(a.pendingStops) == 0 && len(a.pendingAdopted) == 0 {
+		return nil
+	}
 	list, size := []AgentOrders{first}, 0
 	reserve := func(bytes int) *message.Orders {
 		if size > 0 && size+bytes > maxOrdersBytes {
--- a/request/routing/link.go
+++ b/request/routing/link.go
@@ -2,6 +2,14 @@
 
 import "time"
 
+// LinkShares divides a link of the given rate in bytes per second among its senders. Half of it
+// is for requests, in equal parts for the entries of the region; the other half is for the orders
+// of the leader, of which there is one at a time however many entries there are.
+func LinkShares(bytesPerSecond int64, entriesInRegion int) (requests, orders int64) {
+	orders = bytesPerSecond / 2
+	return (bytesPerSecond - orders) / int64(max(entriesInRegion, 1)), orders
+}
+
 // LinkBytesPerSecond is the capacity of the link between regions in each direction:
 // 30 Mbit/s.
 const LinkBytesPerSecond = 30_000_000 / 8
@@ -43,8 +51,7 @@
 // 100 ms reached three times the rate.
 const burstsPerSecond = 40
 
-// NewLinkBucket returns a full bucket. bytesPerSecond is an entry's share of the link:
-// its rate divided by the number of entries in the region.
+// NewLinkBucket returns a full bucket. bytesPerSecond is a share of the link, see LinkShares.
 func NewLinkBucket(bytesPerSecond int64, now time.Time) *LinkBucket {
 	b := &LinkBucket{refilledAt: now}
 	b.SetRate(bytesPerSecond, now)
