process/runs: bound cached inputs by their size

Cause: an agent kept the inputs of 256 jobs at most, which is right for 11 workers with few jobs. Change: unused inputs are removed above 16 MiB instead.

--- a/process/runs/node.go
+++ b/process/runs/node.go
@@ -130,6 +130,7 @@
 	refused          []message.RunRefusal // not yet reported
 	givenUp          givenUpRuns          // runs whose end the worker has not listed
 	inputs           map[string][]byte    // by job
+	inputBytes       int                  // size of inputs
 	plannedStop      bool                 // a planned stop covers the worker; starts are refused
 	reportedWorker   message.WorkerInfo
 	usageAge         time.Duration // age of the measured usage in the latest listing
--- a/process/runs/orders.go
+++ b/process/runs/orders.go
@@ -59,7 +59,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for i := range o.Inputs {
-		n.inputs[o.Inputs[i].Job] = o.Inputs[i].Input
+		in := &o.Inputs[i]
+		n.inputBytes += len(in.Input) - len(n.inputs[in.Job])
+		n.inputs[in.Job] = in.Input
 	}
 	for i := range o.Adopted {
 		n.adopt(&o.Adopted[i])
--- a/process/runs/report.go
+++ b/process/runs/report.go
@@ -109,22 +109,23 @@
 	}
 }
 
-// maxInputs is the number of cached inputs above which those of jobs without a run here are
-// removed. The leader sends a missing one again.
-const maxInputs = 256
+// maxInputBytes is the size of the cached inputs above which those of jobs without a run here are
+// removed. The leader sends a missing one again, which delays the start by a report and an order.
+const maxInputBytes = 16 << 20
 
-// pruneInputs removes unused inputs above maxInputs. The caller holds mu.
+// pruneInputs removes unused inputs above maxInputBytes. The caller holds mu.
 func (n *Node) pruneInputs() {
-	if len(n.inputs) <= maxInputs {
+	if n.inputBytes <= maxInputBytes {
 		return
 	}
 	used := map[string]bool{}
 	for key := range n.runs {
 		used[key.Task.Job] = true
 	}
-	for id := range n.inputs {
+	for id, input := range n.inputs {
 		if !used[id] {
 			delete(n.inputs, id)
+			n.inputBytes -= len(input)
 		}
 	}
 }
