process/schedule: keep the loads of workers and interference costs between passes

Cause: each pass computed the load of each worker and its interference cost for each class of filling tasks anew, so a pass cost as much as the fleet is large, at a dispatch for each report of 240 agents.

--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -34,6 +34,9 @@
 	health         health
 	summary        message.Summary // as last reported; Agent is empty before the first one
 	tailSamples    map[job.RunKey]tailSample
+	// fillLoad is nil after a change of what it depends on; fillVersion counts its values.
+	fillLoad    *fillLoad
+	fillVersion uint64
 }
 
 // pendingEnd is a reported end that is acknowledged once the version of the job is durable.
@@ -179,6 +182,7 @@
 	t.needsPass = true
 	a.node.Service, a.node.Labels, a.node.Rack = w.Service, w.Labels, w.Rack
 	a.node.Region, a.node.Domain, a.node.Capacity = a.location.Region, a.location.Domain, w.Capacity
+	a.fillLoad = nil
 	if a.summary.Agent == "" {
 		t.capacities.Add(w.Capacity)
 	}
@@ -252,6 +256,7 @@
 
 func (t *Table) sortAgents() {
 	t.sortedAgents = slices.SortedFunc(maps.Values(t.agents), func(a, b *agentState) int { return cmp.Compare(a.id, b.id) })
+	clear(t.fillCostCache)
 	t.needsPass = true
 }
 
--- a/process/schedule/place.go
+++ b/process/schedule/place.go
@@ -33,8 +33,6 @@
 	now                        time.Time
 	agents                     []*agentState
 	nodes                      []*placement.Node           // of agents, in the same order
-	fillCosts                  map[fillClass][]float64     // cache of Table.fillCosts
-	fillLoads                  []*fillLoad                 // cache of Table.loadOf
 	exhausted                  map[placementClass]struct{} // classes for which this pass has found no worker
 	urgentReserve              *placement.Reserve          // capacity kept free for urgent work; nil before its first use
 	reservedWorkers            map[int]struct{}            // see Table.reserveWorker
@@ -80,11 +78,10 @@
 // view returns the state at the start of a pass. It updates the node of each agent.
 func (t *Table) view(now time.Time) view {
 	v := view{
-		now: now, agents: t.sortedAgents, fillCosts: map[fillClass][]float64{}, reservedWorkers: map[int]struct{}{}, exhausted: map[placementClass]struct{}{},
+		now: now, agents: t.sortedAgents, reservedWorkers: map[int]struct{}{}, exhausted: map[placementClass]struct{}{},
 		teams: t.teams(), unmetDemand: map[string]resources.Resources{}, unmetTaskNeed: map[string]resources.Resources{},
 	}
 	v.nodes = make([]*placement.Node, len(v.agents))
-	v.fillLoads = make([]*fillLoad, len(v.agents))
 	for i, a := range v.agents {
 		a.node.Open = t.schedulable(now, a) && !a.health.ejected
 		a.node.FailPct = a.health.failPct(now)
@@ -136,7 +133,6 @@
 			return // the other tasks of the step have the same requirements
 		}
 		if s.def.Fills {
-			t.updateFillCosts(v, at)
 			req.Oversubscribe = false
 		}
 		if s.def.SameRack && onlyRack == "" {
@@ -228,9 +224,11 @@
 		Oversubscribe: v.now.Sub(s.readyAt) > sharingDelay && len(s.onAgent) == 0,
 	}
 	if s.def.Fills {
-		costs := t.fillCosts(v, fillClass{s.def.Image, s.def.Need.MilliCPU})
-		req.FillHeadroom = func(i int) int64 { return t.loadOf(v, i).idleMilliCPU }
-		req.InterferenceCost, req.MaxInterferenceCost = func(i int) float64 { return costs[i] }, t.costLimit(v.now, c)
+		class := fillClass{s.def.Image, s.def.Need.MilliCPU}
+		cache := t.fillCostsOf(class)
+		req.FillHeadroom = func(i int) int64 { return t.loadOf(v.now, v.agents[i]).idleMilliCPU }
+		req.InterferenceCost = func(i int) float64 { return t.fillCost(v, cache, i, class) }
+		req.MaxInterferenceCost = t.costLimit(v.now, c)
 	}
 	req.Ineligible = t.withoutTicket(v, c)
 	if len(v.reservedWorkers) > 0 && !s.def.LongRunning {
--- a/process/schedule/pressure.go
+++ b/process/schedule/pressure.go
@@ -35,6 +35,7 @@
 	if !sampled {
 		return
 	}
+	a.fillLoad = nil
 	capacity := float64(max(a.node.Capacity.MilliCPU, 1))
 	var use []interference.Filling
 	for _, run := range a.runs {
@@ -63,104 +64,6 @@
 	}
 }
 
-// fillLoad is the load of one worker during a pass, as it concerns filling tasks.
-type fillLoad struct {
-	idleMilliCPU int64 // what filling tasks may still use; negative if it is exceeded
-	// closed is set if a serving task has been over its target for so long that the
-	// agent is about to pause the filling tasks; no more of them may be placed then.
-	closed  bool
-	serving []servingLoad
-}
-
-// servingLoad is a serving task with the weighted use of the filling tasks beside it
-// (pressure) and the probability that it is over its target at predictionHorizon.
-type servingLoad struct {
-	interference.Serving
-	pressure, overProbability float64
-}
-
-// fillClass holds the properties shared by filling tasks that cause the same interference.
-type fillClass struct {
-	image    string
-	milliCPU int64
-}
-
-// fillCosts returns the fillCost of each worker, cached in the view.
-func (t *Table) fillCosts(v *view, class fillClass) []float64 {
-	if costs, ok := v.fillCosts[class]; ok {
-		return costs
-	}
-	costs := make([]float64, len(v.agents))
-	for i := range v.agents {
-		costs[i] = t.fillCost(v, i, class)
-	}
-	v.fillCosts[class] = costs
-	return costs
-}
-
-// updateFillCosts updates the cache after a placement at one worker.
-func (t *Table) updateFillCosts(v *view, at int) {
-	v.fillLoads[at] = nil
-	for class, costs := range v.fillCosts {
-		costs[at] = t.fillCost(v, at, class)
-	}
-}
-
-// fillCost returns the interference cost at one worker: how many more serving tasks are
-// expected to be over their target if it gets a filling task of the class. It is infinite
-// for a closed worker.
-func (t *Table) fillCost(v *view, i int, class fillClass) float64 {
-	a, l := v.agents[i], t.loadOf(v, i)
-	if l.closed {
-		return math.Inf(1)
-	}
-	share := a.node.FillShare(class.milliCPU)
-	var cost float64
-	for _, s := range l.serving {
-		weight := t.pressure.Weight(interference.PressurePair{Serving: s.Image, Filling: class.image})
-		cost += t.pressure.OverTarget(v.now.Add(predictionHorizon), s.Serving, s.pressure+weight*share) - s.overProbability
-	}
-	return cost
-}
-
-func (t *Table) loadOf(v *view, i int) *fillLoad {
-	if v.fillLoads[i] == nil {
-		v.fillLoads[i] = t.fillLoad(v.now, v.agents[i])
-	}
-	return v.fillLoads[i]
-}
-
-func (t *Table) fillLoad(now time.Time, a *agentState) *fillLoad {
-	l := &fillLoad{idleMilliCPU: int64(maxFillLoad*float64(a.node.IdleMilliCPU())) - a.node.FillMilliCPU}
-	if len(a.tailSamples) == 0 {
-		return l
-	}
-	filling := a.filling()
-	for _, r := range a.tailSamples {
-		if now.Sub(r.at) > maxSampleAge {
-			continue
-		}
-		l.closed = l.closed || !r.overSince.IsZero() && t.cfg.Guard.Closes(now.Sub(r.overSince))
-		pressure := t.pressure.Sum(r.Image, filling)
-		l.serving = append(l.serving, servingLoad{
-			Serving: r.Serving, pressure: pressure, overProbability: t.pressure.OverTarget(now.Add(predictionHorizon), r.Serving, pressure),
-		})
-	}
-	return l
-}
-
-// filling returns the expected use of the worker's filling tasks at full pace, by image
-// and as a share of the worker's processors.
-func (a *agentState) filling() []interference.Filling {
-	var use []interference.Filling
-	for _, run := range a.runs {
-		if def := run.task.step.def; def.Fills {
-			use = append(use, interference.Filling{Image: def.Image, Share: a.node.FillShare(def.Need.MilliCPU)})
-		}
-	}
-	return interference.SumByImage(use)
-}
-
 const (
 	// baseCostLimit, in serving tasks over their target, applies to a filling task whose
 	// job is in time or already late.
--- a/process/schedule/runs.go
+++ b/process/schedule/runs.go
@@ -94,6 +94,7 @@
 // adjustUsage adds a run to the use of its worker and team, or subtracts it (sign -1).
 func (t *Table) adjustUsage(run *runState, sign int64) {
 	node, def := &run.agent.node, run.task.step.def
+	run.agent.fillLoad = nil
 	charge := def.Charge()
 	node.Used = node.Used.Add(scaled(charge, sign))
 	t.adjustTeamUsage(run.task.step.job(), charge, sign)
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -111,8 +111,9 @@
 	closed        bool            // see Close
 	pressure      *interference.Pressure
 	sortedAgents  []*agentState // by id
-	needsPass     bool          // a change since the latest pass may allow new placements
-	passForcedAt  time.Time     // when Tick last set needsPass
+	fillCostCache map[fillClass]*fillCosts
+	needsPass     bool      // a change since the latest pass may allow new placements
+	passForcedAt  time.Time // when Tick last set needsPass
 	// passNotBefore is the earliest time of the next pass; it limits the processor time
 	// of long passes.
 	passNotBefore time.Time
@@ -148,7 +149,7 @@
 		registered: map[string]bool{}, withheld: map[string]bool{}, pressure: interference.NewPressure(),
 		createdAt: cfg.Clock.Now(), startTracker: newStartTracker(), quotas: newQuotas(), capacities: placement.Capacities{},
 		pairings:         interference.NewPairings(interference.PairingsConfig{Clock: cfg.Clock}),
-		changedSummaries: map[string]struct{}{},
+		changedSummaries: map[string]struct{}{}, fillCostCache: map[fillClass]*fillCosts{},
 	}
 	t.shares = fairness.New(t.teamWeight)
 	return t
--- a/process/schedule/urgent.go
+++ b/process/schedule/urgent.go
@@ -47,7 +47,7 @@
 
 func (t *Table) dropReservation(task *taskState) {
 	if a := task.reservation.agent; a != nil {
-		a.node.Used = a.node.Used.Sub(task.step.def.Charge())
+		a.node.Used, a.fillLoad = a.node.Used.Sub(task.step.def.Charge()), nil
 		task.reservation = reservation{}
 		t.needsPass = true
 	}
@@ -83,7 +83,7 @@
 	}
 	a := candidates[at]
 	task.reservation = reservation{agent: a, until: v.now.Add(reservationTimeout)}
-	a.node.Used = a.node.Used.Add(need)
+	a.node.Used, a.fillLoad = a.node.Used.Add(need), nil
 	for _, victim := range victims {
 		task.reservation.victims = append(task.reservation.victims, victim.Key)
 		t.cfg.Meter.Add(metrics.Preemptions, 1)
