process/schedule: weigh interference against the work of a job

That is 0.34 a second of work for the 16 tasks of the smallest site and 0.07 for the 80 tasks of the large one, whose jobs so waited until their slack was gone. Change: the cost is 0.35 s for each second of the job's work.

--- a/process/schedule/pressure.go
+++ b/process/schedule/pressure.go
@@ -68,17 +68,18 @@
 	// baseCostLimit, in serving tasks over their target, applies to a filling task whose
 	// job is in time or already late.
 	baseCostLimit = 0.03
-	// objectiveMissCost is the cost of a job of filling tasks that misses its objective,
-	// in seconds of one serving task over its target.
-	objectiveMissCost = 12.0
+	// missCostPerSecond is the cost of a job of filling tasks that misses its objective, in
+	// seconds of one serving task over its target for each second of the job's work: a job of
+	// many tasks is worth more of the interference that its tasks cause.
+	missCostPerSecond = 0.35
 	// tightSlackShare is the share of a job's initial slack below which the remaining
 	// slack is tight: interference is then weighed against missing the objective.
 	tightSlackShare = 0.6
 )
 
 // costLimit returns the interference cost that is accepted for a filling task of a step:
-// baseCostLimit, and if the slack of its job is tight, in addition up to objectiveMissCost
-// spread over the remaining work of the occurrence. A late job gets only baseCostLimit.
+// baseCostLimit, and if the slack of its job is tight, in addition up to the cost of missing the
+// objective, spread over the remaining work of the occurrence. A late job gets only baseCostLimit.
 func (t *Table) costLimit(now time.Time, c candidate) float64 {
 	j := c.step.job()
 	slack := c.due.Sub(now).Seconds() - float64(c.step.criticalPathMs)/1000
@@ -90,14 +91,16 @@
 	if urgency <= 0 {
 		return baseCostLimit
 	}
-	return baseCostLimit + urgency*objectiveMissCost/math.Max(c.step.occurrence.workLeftSeconds(), 0.1)
+	total, left := c.step.occurrence.workSeconds()
+	return baseCostLimit + urgency*missCostPerSecond*total/math.Max(left, 0.1)
 }
 
-// workLeftSeconds returns the estimated run time of all unfinished tasks.
-func (o *occurrence) workLeftSeconds() float64 {
-	var ms int64
+// workSeconds returns the estimated run time of all tasks, and of the unfinished ones.
+func (o *occurrence) workSeconds() (total, left float64) {
 	for _, s := range o.steps {
-		ms += int64(s.tasksLeft) * s.def.EstimateMs
+		seconds := float64(s.def.EstimateMs) / 1000
+		total += float64(s.def.Count) * seconds
+		left += float64(s.tasksLeft) * seconds
 	}
-	return float64(ms) / 1000
+	return total, left
 }
--- a/process/schedule/pressure_test.go
+++ b/process/schedule/pressure_test.go
@@ -104,3 +104,24 @@
 		require.Empty(t, b.starts())
 	}
 }
+
+// Guards against an interference cost that is accepted for a task of a narrow job and refused for
+// the same task of a wide one: with a cost per job, the tasks of wide jobs waited until they were
+// late.
+func TestCostLimitDoesNotDependOnTheWidth(t *testing.T) {
+	var limits []float64
+	for _, count := range []int{1, 10, 100} {
+		b := newTestbench(t, 1)
+		def := fillingJob("j", 1000)
+		def.Steps[0].Count = count
+		b.accept(def)
+		j := b.table.jobs["j"]
+		p := b.table.profileOf(j)
+		c := candidate{step: j.occurrences[0].steps[0], profile: p, due: j.due(p)}
+		last := c.due.Add(-time.Duration(c.step.criticalPathMs) * time.Millisecond)
+		limits = append(limits, b.table.costLimit(last, c))
+	}
+	require.Greater(t, limits[0], 2*baseCostLimit)
+	require.InDelta(t, limits[0], limits[1], 1e-9)
+	require.InDelta(t, limits[0], limits[2], 1e-9)
+}
