connection/peer, process/lead: a malformed request ends no process

Cause: a panic in a handler of frames ended the process; only the HTTP front ends recovered. A notice of a submitted job carries a definition that the leader put into its table unchecked: a negative count, or a dependency on a step that does not exist, ended the leader, and the entry repeats its notice to the next one. Records in the store were checked already. Change: the leader validates the definition of a notice and ignores a malformed one. A panic of a handler fails its call, or ends the connection of a notification, so that the session that it belongs to is resolved by the next full report; it is logged as internal_error.

--- a/connection/peer/loop.go
+++ b/connection/peer/loop.go
@@ -150,7 +150,7 @@
 	if l.net.handler.Queue(r) {
 		return true
 	}
-	err := l.net.pool.Submit(func(ctx context.Context) { l.net.handler.Handle(ctx, r) })
+	err := l.net.pool.Submit(func(ctx context.Context) { l.handle(ctx, r) })
 	if err == nil {
 		return true
 	}
@@ -162,6 +162,25 @@
 	return true
 }
 
+// handle passes a request to the handler. A panic fails a call and ends the connection of a
+// notification: one request, which may be malformed in a way that its decoding does not show,
+// must not end the process.
+func (l *eventLoop) handle(ctx context.Context, r Request) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		l.net.cfg.Observer.HandlerPanicked(*r.Conn.Remote(), r.Kind, cause)
+		if r.call == noCall {
+			r.Conn.Close()
+			return
+		}
+		r.Fail(outcome.New(outcome.Internal, "internal error"))
+	}()
+	l.net.handler.Handle(ctx, r)
+}
+
 // Traffic counts the bytes of frames by message kind. It is safe for concurrent use.
 type Traffic struct {
 	sentBytes, receivedBytes [256]atomic.Int64
@@ -198,6 +217,8 @@
 func (nopObserver) ConnRefused(string, error)          {}
 func (nopObserver) FrameMalformed(string, error)       {}
 
+func (nopObserver) HandlerPanicked(message.Hello, message.Kind, any) {}
+
 // nopLogger discards gnet's log lines; the Observer reports connection events.
 type nopLogger struct{}
 
--- a/connection/peer/network.go
+++ b/connection/peer/network.go
@@ -66,6 +66,8 @@
 	NotificationRejected(remote message.Hello)
 	ConnRefused(address string, err error) // closed after a failed handshake
 	FrameMalformed(address string, err error)
+	// HandlerPanicked is called when a handler has panicked while it served a request of a kind.
+	HandlerPanicked(remote message.Hello, kind message.Kind, cause any)
 }
 
 // Handler serves the requests of other processes. It replies with Request.Reply or
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -240,3 +240,39 @@
 	}
 	require.Eventually(t, conn.Closed, 10*time.Second, time.Millisecond, "a notification was lost on a connection that lives")
 }
+
+// panickingHandler panics while it serves orders and echoes other requests.
+type panickingHandler struct{ echoHandler }
+
+func (h panickingHandler) Handle(ctx context.Context, r Request) {
+	var check message.Check
+	if r.Kind == message.KindOrders || r.Decode(&check) == nil && check.Request == "bad" {
+		panic("unexpected value")
+	}
+	h.echoHandler.Handle(ctx, r)
+}
+
+// Guards against one request that ends the whole process: its call fails, the connection of a
+// notification ends, and later requests are served.
+func TestPanicOfAHandlerEndsOneRequest(t *testing.T) {
+	workers := pool.New(1, 16)
+	receiver := New(Config{
+		Listen: "127.0.0.1:0", Key: []byte("key"), Hello: func() message.Hello { return message.Hello{ID: "receiver"} },
+	}, workers, panickingHandler{})
+	require.NoError(t, receiver.Start())
+	t.Cleanup(func() {
+		require.NoError(t, receiver.Close())
+		workers.Close()
+	})
+	sender := startNetwork(t, "sender", "key", nil)
+	conn, err := sender.Conn(testContext(t), receiver.Address())
+	require.NoError(t, err)
+	var reply message.CheckReply
+	err = conn.Call(testContext(t), message.KindCheck, message.Check{Request: "bad"}, &reply)
+	require.Equal(t, outcome.Internal, outcome.From(err).Kind)
+	require.False(t, conn.Closed())
+	require.NoError(t, conn.Notify(message.KindOrders, message.Orders{}))
+	require.Eventually(t, conn.Closed, 10*time.Second, time.Millisecond)
+	require.NoError(t, sender.Call(testContext(t), receiver.Address(), message.KindCheck, message.Check{Request: "good"}, &reply))
+	require.Equal(t, "good", reply.Request)
+}
--- a/process/event/observer.go
+++ b/process/event/observer.go
@@ -1,6 +1,10 @@
 package event
 
-import "camphorhead.example/camphorhead/connection/message"
+import (
+	"fmt"
+
+	"camphorhead.example/camphorhead/connection/message"
+)
 
 // ConnectionLog logs the connection events of a process. It implements peer.Observer.
 type ConnectionLog struct{ log Logger }
@@ -41,3 +45,8 @@
 func (c ConnectionLog) FrameMalformed(address string, err error) {
 	c.log.Emit(MalformedFrame, "address", address, "reason", err.Error())
 }
+
+// HandlerPanicked logs a request whose handler has panicked.
+func (c ConnectionLog) HandlerPanicked(remote message.Hello, kind message.Kind, cause any) {
+	c.log.Emit(InternalError, "component", fmt.Sprintf("handler of kind %d from %s", kind, remote.ID), "error", cause)
+}
--- a/process/lead/handle.go
+++ b/process/lead/handle.go
@@ -5,6 +5,7 @@
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
+	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/jobstore"
 	"camphorhead.example/camphorhead/process/term"
 	"camphorhead.example/camphorhead/request/outcome"
@@ -86,11 +87,15 @@
 	}
 }
 
-func (n *Node) handleSubmitted(_ peer.Request, s *message.Submitted) {
+func (n *Node) handleSubmitted(r peer.Request, s *message.Submitted) {
 	l := n.loadedTerm()
 	if l == nil || s.Definition == nil {
 		return // the entry repeats the notice until a leader has accepted the job
 	}
+	if err := s.Definition.Validate(); err != nil {
+		n.cfg.Log.Emit(event.MalformedFrame, "address", r.Conn.Remote().Address, "reason", err.Error())
+		return // the record in the store, if there is a valid one, is read with the inbox
+	}
 	l.accept(storedJob(s), "entry")
 	l.dispatch()
 }
--- a/process/lead/sessions_test.go
+++ b/process/lead/sessions_test.go
@@ -156,3 +156,20 @@
 	}}})
 	require.Eventually(t, agent.conn.Closed, 10*time.Second, time.Millisecond)
 }
+
+// Guards against a leader that ends because of one notice: the definition in it comes from another
+// process and has not passed the checks of an accepted job.
+func TestMalformedNoticeOfAJobIsIgnored(t *testing.T) {
+	l := newSchedulingLeader(t)
+	a := connectAgent(t, l.node)
+	for _, bad := range []job.Step{{Count: -1}, {Count: 1 << 40}, {Count: 1, After: []int{7}}, {Count: 1, After: []int{-1}}} {
+		def := testJob("bad")
+		def.Steps = []job.Step{bad}
+		require.NoError(t, a.conn.Notify(message.KindSubmitted, message.Submitted{Definition: def, Term: l.number, Revision: 1}))
+	}
+	require.NoError(t, a.conn.Notify(message.KindSubmitted, message.Submitted{Definition: testJob("good"), Term: l.number, Revision: 2}))
+	require.Eventually(t, func() bool { _, known := l.table.State("good"); return known }, 10*time.Second, time.Millisecond)
+	_, known := l.table.State("bad")
+	require.False(t, known)
+	require.False(t, a.conn.Closed())
+}
