process/evacuation: operators empty failure domains and take them back

Change: one record in the store for each evacuated failure domain. The leader reads the records before it begins its term and once a second, orders no run at the workers of these domains, withdraws starts that it has not sent, and leaves alone what runs there; after a failed read the last records stay in force. Its heartbeats tell the entries what is in force, so the administration API and camphorheadctl evacuation begin, end and list confirm a change only when the leader has it. On the users' platform the records are the operator's keys; the adapter only names their prefix.

--- a/cmd/camphorhead/roles.go
+++ b/cmd/camphorhead/roles.go
@@ -52,6 +52,7 @@
 		deps.Document = document.Source{
 			Key: adapter.ManifestKey, Prefix: adapter.ManifestPrefix, Decode: adapter.DecodeManifest,
 		}
+		deps.EvacuationPrefix = adapter.EvacuationPrefix
 	}
 	if cfg.Advice.Address != "" {
 		deps.Advisor = adapter.NewAdvisor(cfg.Advice.Address)
--- a/cmd/camphorheadctl/admin/body.go
+++ b/cmd/camphorheadctl/admin/body.go
@@ -4,9 +4,10 @@
 
 // Bodies of the responses of the administration API.
 type (
-	Change   = api.Change
-	Stop     = api.Stop
-	Status   = api.Status
-	Agent    = api.Agent
-	Timeline = api.Timeline
+	Change     = api.Change
+	Stop       = api.Stop
+	Evacuation = api.Evacuation
+	Status     = api.Status
+	Agent      = api.Agent
+	Timeline   = api.Timeline
 )
--- a/cmd/camphorheadctl/admin/calls.go
+++ b/cmd/camphorheadctl/admin/calls.go
@@ -112,6 +112,31 @@
 	return change, err
 }
 
+// Evacuations returns the failure domains that operators have emptied.
+func (c *Client) Evacuations(ctx context.Context) ([]Evacuation, error) {
+	var list []Evacuation
+	_, err := c.do(ctx, call{method: fasthttp.MethodGet, path: "/v1/evacuations", result: &list})
+	return list, err
+}
+
+// BeginEvacuation empties a failure domain. InForce of the result is false if the leader has not
+// confirmed it in time.
+func (c *Client) BeginEvacuation(ctx context.Context, domain string) (Evacuation, error) {
+	return c.changeEvacuation(ctx, fasthttp.MethodPut, domain)
+}
+
+// EndEvacuation takes a failure domain back. InForce of the result is true if the leader has not
+// confirmed it in time.
+func (c *Client) EndEvacuation(ctx context.Context, domain string) (Evacuation, error) {
+	return c.changeEvacuation(ctx, fasthttp.MethodDelete, domain)
+}
+
+func (c *Client) changeEvacuation(ctx context.Context, method, domain string) (Evacuation, error) {
+	var e Evacuation
+	_, err := c.do(ctx, call{method: method, path: "/v1/evacuations/" + url.PathEscape(domain), result: &e})
+	return e, err
+}
+
 // Status returns the state of the deployment as seen by the entry.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	var s Status
--- a/cmd/camphorheadctl/cluster_test.go
+++ b/cmd/camphorheadctl/cluster_test.go
@@ -177,6 +177,30 @@
 	require.Contains(t, errOut, "no planned stop")
 }
 
+// Guards against an evacuation that is confirmed before it is in force, that an entry which does
+// not lead cannot begin or end, or that is not listed.
+func TestEvacuationOfAFailureDomain(t *testing.T) {
+	d := startDeployment(t)
+	domain := parse[admin.Status](t, d.ctl(t, "--json", "status")).Agents[0].FailureDomain
+	for _, e := range d.Entries {
+		begun := executeOK(t, "--entry", e.ClientURL, "evacuation", "begin", domain)
+		require.Contains(t, begun, domain+" evacuated")
+		require.Equal(t, []admin.Evacuation{{FailureDomain: domain, InForce: true}},
+			parse[[]admin.Evacuation](t, executeOK(t, "--entry", e.ClientURL, "--json", "evacuation", "list")))
+		ended := executeOK(t, "--entry", e.ClientURL, "evacuation", "end", domain)
+		require.Contains(t, ended, domain+" taken back")
+		require.Equal(t, "[]\n", executeOK(t, "--entry", e.ClientURL, "--json", "evacuation", "list"))
+	}
+}
+
+// executeOK runs a command that must succeed and returns its output.
+func executeOK(t *testing.T, args ...string) string {
+	t.Helper()
+	code, out, errOut := execute(t, "", args...)
+	require.Equal(t, exitOK, code, errOut)
+	return out
+}
+
 // startWatch submits a watch and returns its job id and the node that runs it.
 func (d *deployment) startWatch(t *testing.T) (string, *cluster.Node) {
 	t.Helper()
--- a/cmd/camphorheadctl/main.go
+++ b/cmd/camphorheadctl/main.go
@@ -97,7 +97,7 @@
 		return command.Execute(args)
 	}
 	for _, add := range []func(*flags.Command) error{
-		a.addRequest, a.addJob, a.addProfile, a.addTeam, a.addStop, a.addStatus, a.addTimeline, a.addExplain, a.addFollow,
+		a.addRequest, a.addJob, a.addProfile, a.addTeam, a.addStop, a.addEvacuation, a.addStatus, a.addTimeline, a.addExplain, a.addFollow,
 		a.addConfig, a.addDemo, a.addBench, a.addCompletion,
 	} {
 		if err := add(parser.Command); err != nil {
--- a/connection/api/api.go
+++ b/connection/api/api.go
@@ -43,6 +43,13 @@
 	Complete bool `json:"complete"`
 }
 
+// Evacuation is a failure domain that operators have emptied. InForce is set if the leader orders
+// no runs at its workers.
+type Evacuation struct {
+	FailureDomain string `json:"failure_domain"`
+	InForce       bool   `json:"in_force"`
+}
+
 // Status is the state of the deployment as seen by one entry.
 type Status struct {
 	Entry         string `json:"entry"`
--- a/connection/message/runs.go
+++ b/connection/message/runs.go
@@ -208,6 +208,9 @@
 	// Stamp is the time of sending by a clock that only the leader reads; followers return
 	// it in Following. 0: none.
 	Stamp int64 `msgpack:"z,omitempty"`
+	// Evacuated are the failure domains at whose workers the leader orders no runs. Only an update
+	// with a Stamp lists them.
+	Evacuated []string `msgpack:"ev,omitempty"`
 }
 
 // Following tells the leader that an entry has begun no newer term when it sent this. Stamp is
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -7,6 +7,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	"camphorhead.example/camphorhead/process/configlog"
 	"camphorhead.example/camphorhead/process/configpeer"
 	"camphorhead.example/camphorhead/process/document"
+	"camphorhead.example/camphorhead/process/evacuation"
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/fleet"
 	"camphorhead.example/camphorhead/process/jobstore"
@@ -63,17 +65,20 @@
 	// Document is set if operators write the configuration to the store themselves.
 	// Its zero value selects the log of changes (package configlog).
 	Document document.Source
+	// EvacuationPrefix is that of the keys of evacuations; empty: evacuation.DefaultPrefix.
+	EvacuationPrefix string
 	// JobsHandler returns the handler of the jobs listener; nil: there is no such listener.
 	JobsHandler func(*Entry) fasthttp.RequestHandler
 }
 
 // Entry is one entry process. After Start, its methods may be called from any goroutine.
 type Entry struct {
-	cfg     settings.Settings
-	clock   clockwork.Clock
-	log     event.Logger
-	store   platform.Store
-	metrics *metrics.Registry
+	cfg         settings.Settings
+	clock       clockwork.Clock
+	log         event.Logger
+	store       platform.Store
+	metrics     *metrics.Registry
+	evacuations *evacuation.Records
 	// pool runs the handlers of frames and the tickers, waitPool jobs that wait for
 	// the store or another process.
 	pool        *pool.Pool
@@ -130,6 +135,7 @@
 	e.log = deps.Log.WithRecorder(e.ring)
 	e.store = platform.CountingStore{Store: deps.Store, Counter: e.metrics}
 	e.checks = jobstore.NewChecks(e.store)
+	e.evacuations = evacuation.NewRecords(e.store, cmp.Or(deps.EvacuationPrefix, evacuation.DefaultPrefix))
 	e.runCtx, e.cancel = context.WithCancel(context.Background())
 	e.configLog = configlog.New(e.store, e.config, deps.Clock)
 	e.net = peer.New(peer.Config{
--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -47,7 +47,7 @@
 			return p, ok
 		},
 		Teams:     func() map[string]profile.Team { return e.config.Document().Teams },
-		AdmitLink: e.admitOrders, OnAgentsChanged: e.fleet.Apply,
+		AdmitLink: e.admitOrders, Evacuations: e.evacuations.List, OnAgentsChanged: e.fleet.Apply,
 		ConfigState: func() message.ConfigState { return configpeer.State(e.config, e.clock) }, OnConfigState: e.observeConfig,
 	})
 }
--- a/process/event/catalogue.go
+++ b/process/event/catalogue.go
@@ -132,4 +132,6 @@
 	{PlannedStopBegun, "planned_stop_begun", Info, "planned stop begins", withUnits("stop scope subject grace_ms operator"), noAction},
 	{PlannedStopComplete, "planned_stop_complete", Info, "planned stop is complete", withUnits("stop scope subject elapsed_ms"), "The hosts that it covers can be taken out of service."},
 	{PlannedStopIncomplete, "planned_stop_incomplete", Error, "planned stop is incomplete at the end of its grace period", withUnits("stop scope subject unfinished elapsed_ms"), "Wait for the remaining tasks, or give the stop a longer grace period."},
+	{EvacuationBegun, "evacuation_begun", Info, "leader orders no more runs at the workers of a failure domain", withUnits("subject term workers tasks"), "Nothing. tasks is the number of runs there, which go on."},
+	{EvacuationEnded, "evacuation_ended", Info, "workers of a failure domain may get runs again", withUnits("subject term"), noAction},
 }
--- a/process/event/id.go
+++ b/process/event/id.go
@@ -133,4 +133,6 @@
 	_
 	PlannedStopComplete
 	PlannedStopIncomplete
+	EvacuationBegun
+	EvacuationEnded
 )
--- a/process/lead/followers.go
+++ b/process/lead/followers.go
@@ -49,7 +49,7 @@
 	update.Jobs, update.Waiting, update.Agents, update.RemovedAgents = jobs, waiting, agents, removed
 	conns := l.followerConns()
 	if heartbeat {
-		update.Entries, update.Stamp = l.entryList(), l.stamp()
+		update.Entries, update.Stamp, update.Evacuated = l.entryList(), l.stamp(), l.table.Evacuated()
 		l.mu.Lock()
 		l.mu.lastUpdate = l.node.cfg.Clock.Now()
 		l.mu.Unlock()
@@ -91,7 +91,7 @@
 	l.mu.entriesVersion++
 	l.mu.Unlock()
 	update := l.newUpdate()
-	update.Stamp = l.stamp()
+	update.Stamp, update.Evacuated = l.stamp(), l.table.Evacuated()
 	update.Jobs, update.Waiting = jobs, waiting
 	update.Agents, update.AllAgents, update.Entries = l.table.AgentSummaries(), true, l.entryList()
 	_ = conn.Notify(message.KindUpdate, &update)
--- a/process/lead/leader_conn.go
+++ b/process/lead/leader_conn.go
@@ -202,6 +202,9 @@
 		}
 	}
 	n.mu.Unlock()
+	if u.Stamp != 0 {
+		n.evacuated.Store(&u.Evacuated)
+	}
 	n.states.apply(u.Jobs, u.Waiting)
 	n.notifyAgentsChanged(u.Agents, u.RemovedAgents, u.AllAgents)
 	n.observeConfig(address, u.Config)
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -18,8 +18,11 @@
 )
 
 const (
-	inboxInterval = time.Second     // between polls for jobs and cancellations of which no notice arrived
-	purgeInterval = 5 * time.Second // between deletions of old records
+	// evacuationInterval is the time between two reads of the evacuations. Together with the age up to
+	// which an agent sends an ordered start, an evacuation is in force within 3 s.
+	evacuationInterval = time.Second
+	inboxInterval      = time.Second     // between polls for jobs and cancellations of which no notice arrived
+	purgeInterval      = 5 * time.Second // between deletions of old records
 	// maxPurgeBatches bounds the transactions of one deletion to 2 writes a second, which delete 62
 	// jobs a second. Three times the 8 that users hand in a second are a burst.
 	maxPurgeBatches  = 10
@@ -41,6 +44,7 @@
 	// Each is set while its work is queued or running; dispatchPending requests one more pass.
 	dispatching, dispatchPending atomic.Bool
 	committing, readingInbox     atomic.Bool
+	readingEvacuations           atomic.Bool
 	purging                      atomic.Bool
 	sendingUpdates               atomic.Bool
 	// degraded is set while commits fail and none was confirmed for 2/3 of the leader timeout.
@@ -73,6 +77,7 @@
 	failingSince      time.Time // zero: the last transaction was confirmed
 	lastUpdate        time.Time // last heartbeat to the followers
 	inboxReadAt       time.Time // start of the last poll of the inbox
+	evacuationsReadAt time.Time // start of the last read
 	inboxRevision     uint64    // revision up to which the inbox has been read
 	purgedAt          time.Time // start of the last purge
 	heartbeatRevision uint64    // of term.HeartbeatKey
@@ -146,6 +151,7 @@
 	updateDue := now.Sub(l.mu.lastUpdate) >= leaderTimeout/heartbeatsPerTimeout
 	inboxDue := now.Sub(l.mu.inboxReadAt) >= inboxInterval
 	purgeDue := now.Sub(l.mu.purgedAt) >= purgeInterval
+	evacuationsDue := l.node.cfg.Evacuations != nil && now.Sub(l.mu.evacuationsReadAt) >= evacuationInterval
 	l.degraded.Store(!l.mu.failingSince.IsZero() && now.Sub(l.mu.lastSuccess) >= leaderTimeout*2/3)
 	l.mu.Unlock()
 	l.checkIsolation(now)
@@ -155,6 +161,9 @@
 	if inboxDue {
 		l.submitOnce(&l.readingInbox, l.readInbox)
 	}
+	if evacuationsDue {
+		l.submitOnce(&l.readingEvacuations, l.readEvacuations)
+	}
 	if purgeDue {
 		l.submitOnce(&l.purging, l.purge)
 	}
--- a/process/lead/load.go
+++ b/process/lead/load.go
@@ -33,6 +33,9 @@
 			list.Agents = []schedule.AgentLease{{Agent: unknownAgents}}
 		}
 	}
+	if err := l.applyEvacuations(ctx); err != nil {
+		return err
+	}
 	l.mu.inboxRevision, l.mu.agentsRevision = revision, kv.Revision
 	unfinished, ended := jobstore.ConvertLoaded(jobs)
 	now := l.node.cfg.Clock.Now()
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -84,6 +84,8 @@
 	// OnAgentsChanged is called with the summaries that changed and the ids of removed
 	// agents; if all is set, changed holds the summaries of all agents. nil ignores changes.
 	OnAgentsChanged func(changed []message.Summary, removed []string, all bool)
+	// Evacuations reads the failure domains that operators have emptied; nil: there are none.
+	Evacuations func(ctx context.Context) ([]string, error)
 	// ConfigState returns the state of the configuration in force.
 	ConfigState func() message.ConfigState
 	// OnConfigState is called with the state of the configuration at the leader that this process
@@ -115,7 +117,8 @@
 	breaker         storeBreaker
 	leaderlessSince atomic.Int64 // since when there is no ready leader, in nanoseconds since 1970; 0: there is one
 	stepRunning     atomic.Bool
-	claiming        atomic.Bool // the outcome of a claim of this process is not known yet
+	evacuated       atomic.Pointer[[]string] // failure domains where the leader orders no runs, by its latest heartbeat
+	claiming        atomic.Bool              // the outcome of a claim of this process is not known yet
 
 	mu             lockrank.Mutex // guards the fields below
 	elector        term.Elector
--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -196,7 +196,7 @@
 // available reports whether new runs may be ordered at an agent, at the latest after a pause that
 // follows a refusal.
 func (t *Table) available(now time.Time, a *agentState) bool {
-	return a.worker.Reachable && !a.worker.Draining && t.registered[a.id] &&
+	return a.worker.Reachable && !a.worker.Draining && t.registered[a.id] && !t.evacuated[a.location.Domain] &&
 		now.Sub(a.reportedAt) < maxMissedReports*t.cfg.ReportInterval
 }
 
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -104,6 +104,7 @@
 	publishedWaiting   map[string]int // waiting as last returned by Updates
 	// registered are the agents that the store is known to contain and that may get new runs.
 	registered    map[string]bool
+	evacuated     map[string]bool // failure domains whose workers get no new runs
 	withheld      map[string]bool // agents that get no lease before SetRegistered; see AgentLease
 	storedLeases  AgentLeases     // that the store is known to contain; Term 0: unknown
 	leasesTakenAt time.Time       // when TakeAgentLeases last returned a list to write
