request/placement: rate the workers once for the equal tasks of a step

Cause: the leader rated each worker for each task, so a step of 160 equal tasks took 38,400 ratings in one pass, although a placement changes the score of one worker only. Change: a ranking of the workers is kept for a step while its request stays the same; only the chosen worker is rated again. Tasks that avoid workers of their own and requests with reserved capacity are rated as before.

--- a/process/schedule/fleet_load_test.go
+++ b/process/schedule/fleet_load_test.go
@@ -493,3 +493,28 @@
 		}
 	}
 }
+
+// BenchmarkWideStep measures one Dispatch that places 160 equal filling tasks on 240 workers.
+func BenchmarkWideStep(b *testing.B) {
+	f := newFleetLoad(largeFleet, 1)
+	f.run(2 * time.Second)
+	least := time.Hour
+	b.ReportAllocs()
+	b.StopTimer()
+	for range b.N {
+		f.run(20 * simStep)
+		f.handIn(proofProfile, 1, 160, 1000, 100, 200, 0, 2, 1000, 1, func(s *job.Step) {
+			s.Count, s.Fills, s.Image = 160, true, "b1"
+		})
+		b.StartTimer()
+		began := time.Now()
+		orders := f.table.Dispatch(f.clock.Now())
+		least = min(least, time.Since(began))
+		b.StopTimer()
+		for _, o := range orders {
+			w := f.byAgent[o.Agent]
+			w.inbox = append(w.inbox, simOrders{f.clock.Now().Add(w.delay), o.Orders})
+		}
+	}
+	b.ReportMetric(float64(least.Microseconds()), "least-us")
+}
--- a/process/schedule/place.go
+++ b/process/schedule/place.go
@@ -36,6 +36,7 @@
 	exhausted                  map[placementClass]struct{} // classes for which this pass has found no worker
 	urgentReserve              *placement.Reserve          // capacity kept free for urgent work; nil before its first use
 	reservedWorkers            map[int]struct{}            // see Table.reserveWorker
+	ranking                    *placement.Ranking          // for the step that is being placed; nil: none
 	teams                      map[string]quota.Team
 	unmetDemand, unmetTaskNeed map[string]resources.Resources // as in quotas, for this pass
 }
@@ -102,6 +103,7 @@
 		return
 	}
 	req := t.placementRequest(v, c)
+	v.ranking = nil
 	class := placementClassOf(&req, s)
 	if _, exhausted := v.exhausted[class]; exhausted {
 		t.recordSkippedDemand(v, s)
@@ -113,7 +115,11 @@
 	}
 	for i := range s.tasks {
 		task := &s.tasks[i]
-		if task.phase != taskWaiting || t.useReservation(now, task) {
+		if task.phase != taskWaiting {
+			continue
+		}
+		if t.useReservation(now, task) {
+			v.ranking = nil
 			continue
 		}
 		at, overQuota := t.placeTask(v, &req, task, onlyRack)
@@ -164,8 +170,12 @@
 			cost = req.InterferenceCost(at)
 		}
 		t.assign(v.now, task, v.agents[at], cost)
+		if v.ranking != nil {
+			v.ranking.Update(at)
+		}
 	case r != nil && r.Urgent:
 		t.preemptFor(v, task)
+		v.ranking = nil
 	case grant == quota.WithinQuota:
 		v.recordUnmetDemand(j, req.Charge)
 	}
@@ -311,12 +321,24 @@
 			return at
 		}
 	}
-	if at := placement.Pick(req, v.nodes, v.runsOf(task.step), task.avoids(v)); at >= 0 {
+	if at := t.pickRanked(req, v, task); at >= 0 {
 		return at
 	}
 	return t.resortWorker(v, req, task)
 }
 
+// pickRanked is placement.Pick, with the ranking of the step if the task has no workers of its own to
+// avoid.
+func (t *Table) pickRanked(req *placement.Request, v *view, task *taskState) int {
+	if req.Reserved != nil || req.Excluded != nil || len(task.avoidedAgents) > 0 {
+		return placement.Pick(req, v.nodes, v.runsOf(task.step), task.avoids(v))
+	}
+	if v.ranking == nil || !v.ranking.Matches(req) {
+		v.ranking = placement.NewRanking(req, v.nodes, v.runsOf(task.step))
+	}
+	return v.ranking.Best()
+}
+
 // rackOf returns the rack of the step's active tasks; empty if there are none.
 func (t *Table) rackOf(s *stepState) string {
 	for id := range s.onAgent {
--- a/process/schedule/starts.go
+++ b/process/schedule/starts.go
@@ -119,7 +119,7 @@
 		return -1
 	}
 	for i, a := range v.agents {
-		if _, failing := t.startTracker.failing[a]; !failing || !a.health.trialDue(v.now, t.startTracker.resolved) {
+		if a.health.failedStarts == 0 || !a.health.trialDue(v.now, t.startTracker.resolved) {
 			continue
 		}
 		regionAllowed := req.Region == "" || a.location.Region == req.Region || !v.now.Before(a.health.trialDeadline)
--- a/request/placement/pick.go
+++ b/request/placement/pick.go
@@ -151,35 +151,45 @@
 	return score + float64(n.Used.MilliCPU+r.Charge.MilliCPU)/capacity + nearServingPoints*float64(n.Serving)
 }
 
+// rate returns the score of a worker, with the costs that Pick adds to it; ok is false if the task
+// may not run there. onNode returns the number of the step's tasks on a worker.
+func (r *Request) rate(n *Node, i int, onNode func(i int) int) (score float64, ok bool) {
+	if !r.Fits(n) || (r.Spread > 0 && onNode(i) >= r.Spread) || (r.Reserved != nil && r.Reserved(i)) ||
+		(r.Ineligible != nil && r.Ineligible(i)) || (r.Excluded != nil && r.Excluded(i)) {
+		return 0, false
+	}
+	var headroom int64
+	if r.FillHeadroom != nil {
+		if headroom = r.FillHeadroom(i); headroom < r.MilliCPU && !r.Oversubscribe {
+			return 0, false
+		}
+	}
+	var cost float64
+	if r.InterferenceCost != nil {
+		if cost = r.InterferenceCost(i); cost > r.MaxInterferenceCost {
+			return 0, false
+		}
+	}
+	score = r.Score(n, headroom) + interferencePoints*cost
+	if r.Slowdown != nil {
+		score += pressurePoints * min(r.Slowdown(i), maxSlowdown)
+	}
+	return score, true
+}
+
 // Pick returns the index of the worker with the least score on which the task may
 // run, or -1 if there is none. onNode returns the number of the step's tasks on a
 // worker. avoid reports the workers that are chosen only if there is no other.
 func Pick(r *Request, nodes []*Node, onNode func(i int) int, avoid func(i int) bool) int {
 	best, least := -1, 0.0
 	for i, n := range nodes {
-		if !r.Fits(n) || (r.Spread > 0 && onNode(i) >= r.Spread) || (r.Reserved != nil && r.Reserved(i)) ||
-			(r.Ineligible != nil && r.Ineligible(i)) || (r.Excluded != nil && r.Excluded(i)) {
+		score, ok := r.rate(n, i, onNode)
+		if !ok {
 			continue
 		}
-		var headroom int64
-		if r.FillHeadroom != nil {
-			if headroom = r.FillHeadroom(i); headroom < r.MilliCPU && !r.Oversubscribe {
-				continue
-			}
-		}
-		var cost float64
-		if r.InterferenceCost != nil {
-			if cost = r.InterferenceCost(i); cost > r.MaxInterferenceCost {
-				continue
-			}
-		}
-		score := r.Score(n, headroom) + interferencePoints*cost
 		if avoid(i) {
 			score += avoidPoints
 		}
-		if r.Slowdown != nil {
-			score += pressurePoints * min(r.Slowdown(i), maxSlowdown)
-		}
 		if best < 0 || score < least {
 			best, least = i, score
 		}
--- a/request/placement/placement_test.go
+++ b/request/placement/placement_test.go
@@ -116,6 +116,49 @@
 	})
 }
 
+// Guards against a ranking that chooses another worker than Pick after the placements of equal tasks.
+func TestRankingEqualsPick(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var nodes []*Node
+		for range rapid.IntRange(1, 12).Draw(t, "nodes") {
+			nodes = append(nodes, drawNode(t))
+		}
+		costs := make([]float64, len(nodes))
+		for i := range costs {
+			costs[i] = rapid.Float64Range(0, 0.1).Draw(t, "cost")
+		}
+		r := &Request{
+			Service: rapid.SampledFrom([]string{"", "lab"}).Draw(t, "wanted service"),
+			Label:   rapid.SampledFrom([]string{"", "a"}).Draw(t, "label"),
+			Rack:    rapid.SampledFrom([]string{"", "r1"}).Draw(t, "data"),
+			Charge:  resourcesUpTo(resources.Resources{MilliCPU: 20_000, MemoryMB: 100_000}).Draw(t, "need"),
+			Spread:  rapid.IntRange(0, 3).Draw(t, "spread"), Serves: rapid.Bool().Draw(t, "serves"),
+		}
+		r.MilliCPU = r.Charge.MilliCPU
+		if rapid.Bool().Draw(t, "fills") {
+			r.Fills, r.Serves, r.MaxInterferenceCost = true, false, 0.08
+			r.FillHeadroom = func(i int) int64 { return nodes[i].IdleMilliCPU() - nodes[i].FillMilliCPU }
+			r.InterferenceCost = func(i int) float64 { return costs[i] + float64(nodes[i].FillMilliCPU)/1e6 }
+		}
+		onNode := map[int]int{}
+		count := func(i int) int { return onNode[i] }
+		k := NewRanking(r, nodes, count)
+		for range 20 {
+			at := Pick(r, nodes, count, func(int) bool { return false })
+			require.Equal(t, at, k.Best())
+			if at < 0 {
+				return
+			}
+			onNode[at]++
+			nodes[at].Used = nodes[at].Used.Add(r.Charge)
+			if r.Fills {
+				nodes[at].FillMilliCPU += r.MilliCPU
+			}
+			k.Update(at)
+		}
+	})
+}
+
 // Guards against placements within one pass that use the reserve together.
 func TestReserveFollowsPlacements(t *testing.T) {
 	nodes := []*Node{
