--- a/process/schedule/evacuation_test.go
+++ b/process/schedule/evacuation_test.go
@@ -76,3 +76,53 @@
 	b.table.SetEvacuated(b.now(), nil)
 	require.Len(t, b.starts(), 1)
 }
+
+// Guards against an agent that was silent when the evacuation began and gets runs when it returns,
+// or whose runs are given up because of it.
+func TestSilentAgentReturnsToAnEvacuatedDomain(t *testing.T) {
+	b := newTestbench(t, 1)
+	b.report("a", message.Report{Session: 1, Full: true, Worker: workerInfo("a"), Location: message.Location{Domain: "d"}})
+	b.register()
+	b.accept(definition("j", checkProfile, 1))
+	k, _ := onlyEntry(t, b.starts())
+	b.clock.Advance(maxMissedReports * testReportInterval)
+	b.table.SetEvacuated(b.now(), []string{"d"})
+	b.report("a", message.Report{
+		Session: 2, Full: true, Worker: workerInfo("a"), Location: message.Location{Domain: "d"}, Running: []message.RunState{{Key: k}},
+	})
+	b.accept(definition("next", checkProfile, 1))
+	o := b.orders("a")
+	require.Empty(t, o.Starts)
+	require.Empty(t, o.Stops)
+	b.report("a", message.Report{Session: 2, Ends: []message.RunEnd{runEnd(k, job.EndDone, 1)}})
+	b.commit()
+	require.Equal(t, job.Done, b.state("j"))
+}
+
+// Guards against a domain that stays closed after another one was evacuated instead, and against
+// tasks that are lost when an evacuation is taken back before they were placed again.
+func TestEvacuationsInTurn(t *testing.T) {
+	b := newTestbench(t, 1)
+	for _, name := range []string{"a", "b"} {
+		b.report(name, message.Report{Session: 1, Full: true, Worker: workerInfo(name), Location: message.Location{Domain: name}})
+	}
+	b.register()
+	b.table.cfg.AdmitLink = func(string, int) bool { return false }
+	b.accept(definition("j", checkProfile, 4))
+	require.Empty(t, b.starts())
+	b.table.SetEvacuated(b.now(), []string{"a", "b"})
+	b.table.SetEvacuated(b.now(), nil)
+	b.table.cfg.AdmitLink = nil
+	require.Len(t, b.starts(), 4, "withdrawn starts are lost")
+	for _, closed := range []string{"a", "b", "a"} {
+		b.table.SetEvacuated(b.now(), []string{closed})
+		b.accept(definition("j-"+b.now().String()+closed, checkProfile, 3))
+		for k, agent := range b.starts() {
+			require.NotEqual(t, closed, agent, k)
+		}
+		b.clock.Advance(testReportInterval)
+		for _, name := range []string{"a", "b"} {
+			b.report(name, message.Report{})
+		}
+	}
+}
