--- a/bench/fleetload/fleetload.go
+++ b/bench/fleetload/fleetload.go
@@ -22,7 +22,6 @@
 )
 
 // Fleet is a table with its fleet and load. It is for one goroutine.
-
 type Fleet struct {
 	clock   *clockwork.FakeClock
 	table   *schedule.Table
@@ -47,7 +46,6 @@
 }
 
 // Spec is a fleet with its load; rates are per second, processors in thousandths.
-
 type Spec struct {
 	workers                            int
 	checks, proofs                     float64
@@ -59,7 +57,6 @@
 }
 
 // Large has hundreds of workers and wide jobs, Small eleven and narrow ones.
-
 var (
 	Large = Spec{
 		workers: 240, checks: 19.2, proofs: 4.96, checkWidth: 13, proofWidth: 40, watchWidth: 24, checkCPU: 2800, checkMs: 800, proofMs: 2200,
@@ -92,7 +89,6 @@
 )
 
 // New returns a fleet whose agents have joined. Its load depends on the seed.
-
 func New(spec Spec, seed uint64) *Fleet {
 	clock := clockwork.NewFakeClock()
 	f := &Fleet{
@@ -142,7 +138,6 @@
 // spread returns a value with the given mean and relative spread, at most limit.
 
 // Run drives the table for a simulated time.
-
 func (f *Fleet) Run(d time.Duration) {
 	for end := f.clock.Now().Add(d); f.clock.Now().Before(end); {
 		f.clock.Advance(Step)
@@ -166,7 +161,6 @@
 }
 
 // Dispatch runs one pass of the table and sends its orders.
-
 func (f *Fleet) Dispatch() {
 	now := f.clock.Now()
 	if f.Before != nil {
