bench/fleetload: describe the jobs of a class by one value

Cause: the parameters of handIn were not readable, and comments were lost with the split. Change: type class; comments.

--- a/bench/fleetload/fleetload.go
+++ b/bench/fleetload/fleetload.go
@@ -135,8 +135,6 @@
 	return f
 }
 
-// spread returns a value with the given mean and relative spread, at most limit.
-
 // Run drives the table for a simulated time.
 func (f *Fleet) Run(d time.Duration) {
 	for end := f.clock.Now().Add(d); f.clock.Now().Before(end); {
@@ -178,21 +176,3 @@
 		f.Starts += len(o.Orders.Starts)
 	}
 }
-
-// HandInWide hands in a proof of one step with equal tasks.
-
-// work executes one Step at a worker.
-
-// serve updates the tail latency of a serving task.
-
-// report sends the ends of a worker, and the measurements of its tasks every half second.
-
-// Result is what the load has earned, as shares of what it could have.
-
-// Result rates the jobs that were handed in between two times after the start: those done within
-
-// their objective count fully, those within three times it count 0.15. A window of a serving job
-
-// counts the share of its tasks at work, less four times the share that filling tasks have brought
-
-// over the target.
--- a/bench/fleetload/load.go
+++ b/bench/fleetload/load.go
@@ -10,15 +10,35 @@
 	"camphorhead.example/camphorhead/version/profile"
 )
 
+// servingLoad is the utilization of the tasks of a serving job by their own users, which swings by a
+// share of its level within servingPeriod.
 type servingLoad struct{ level, swing, phase float64 }
 
+const servingPeriod = 14.0 // seconds
+
+// class describes the jobs of one profile; the values of a job are drawn around these means.
+type class struct {
+	profile   string
+	steps     int // that follow each other
+	width     int // tasks of a step
+	milliCPU  float64
+	workMs    float64
+	maxWorkMs float64
+	uneven    float64 // relative spread of the work within a step
+	stretch   float64 // the objective is this multiple of the longest chain of work, and objectiveMs more
+	// objectiveMs and worth are those of the profile; a job is worth more if it has more work.
+	objectiveMs float64
+	worth       float64
+}
+
+// handedIn is a job that was handed in.
 type handedIn struct {
 	def       *job.Definition
 	acceptMs  int64
 	workMs    map[job.TaskID]float64
 	objective time.Duration
 	worth     float64
-	doneAt    time.Time
+	doneAt    time.Time // zero: not done
 }
 
 func profileOf(name string) (profile.Profile, bool) {
@@ -33,38 +53,43 @@
 	return profile.Profile{}, false
 }
 
+// spread returns a value with the given mean and relative spread, at most limit.
 func (f *Fleet) spread(mean, spread, limit float64) float64 {
 	return min(math.Max(mean*math.Exp(f.rand.NormFloat64()*spread-spread*spread/2), 0.05*mean), limit)
 }
 
-func (f *Fleet) handIn(name string, steps, width int, cpu, work, workMax, uneven, stretch, targetMs, worth float64, step func(*job.Step)) *handedIn {
+// handIn hands in a job of a class; step adds what its steps have in common.
+func (f *Fleet) handIn(c class, step func(*job.Step)) *handedIn {
 	now := f.clock.Now()
-	id := fmt.Sprintf("%s-%05d", name, len(f.jobs))
-	j := &handedIn{def: &job.Definition{ID: id, Profile: name, AcceptedMs: now.UnixMilli(), Input: make([]byte, 500)}, acceptMs: now.UnixMilli(), workMs: map[job.TaskID]float64{}}
-	chain, total := 0.0, 0.0
-	for s := range steps {
-		count := max(1, int(f.spread(float64(width), 0.6, 4*float64(width))))
-		mean := f.spread(work, 0.5, workMax)
+	id := fmt.Sprintf("%s-%05d", c.profile, len(f.jobs))
+	j := &handedIn{
+		def:      &job.Definition{ID: id, Profile: c.profile, AcceptedMs: now.UnixMilli(), Input: make([]byte, 500)},
+		acceptMs: now.UnixMilli(), workMs: map[job.TaskID]float64{},
+	}
+	chainMs, coreSeconds := 0.0, 0.0
+	for s := range c.steps {
+		mean := f.spread(c.workMs, 0.5, c.maxWorkMs)
 		def := job.Step{
-			Count: count, Need: resources.Resources{MilliCPU: int64(f.spread(cpu, 0.3, 2*cpu)), MemoryMB: int64(2 * cpu)},
-			EstimateMs: int64(f.spread(mean, 0.3, 2*workMax)),
+			Count:      max(1, int(f.spread(float64(c.width), 0.6, 4*float64(c.width)))),
+			Need:       resources.Resources{MilliCPU: int64(f.spread(c.milliCPU, 0.3, 2*c.milliCPU)), MemoryMB: int64(2 * c.milliCPU)},
+			EstimateMs: int64(f.spread(mean, 0.3, 2*c.maxWorkMs)),
 		}
 		if s > 0 {
 			def.After = []int{s - 1}
 		}
 		step(&def)
 		longest := 0.0
-		for i := range count {
-			ms := f.spread(mean, uneven, workMax)
+		for i := range def.Count {
+			ms := f.spread(mean, c.uneven, c.maxWorkMs)
 			j.workMs[job.TaskID{Job: id, Step: s, Index: i}] = ms
 			longest = max(longest, ms)
-			total += ms * float64(def.Need.MilliCPU) / 1e6
+			coreSeconds += ms * float64(def.Need.MilliCPU) / 1e6
 		}
-		chain += longest
+		chainMs += longest
 		j.def.Steps = append(j.def.Steps, def)
 	}
-	j.objective = time.Duration((stretch*chain + targetMs) * float64(time.Millisecond))
-	j.worth = worth * min(0.3+0.7*total/(2*float64(width)*work*cpu/1e6), 4)
+	j.objective = time.Duration((c.stretch*chainMs + c.objectiveMs) * float64(time.Millisecond))
+	j.worth = c.worth * min(0.3+0.7*coreSeconds/(2*float64(c.width)*c.workMs*c.milliCPU/1e6), 4)
 	f.jobs, f.byID[id] = append(f.jobs, j), j
 	f.table.Accept(now, j.def, 1, false)
 	return j
@@ -72,27 +97,35 @@
 
 func (f *Fleet) handInWatch() {
 	image := fmt.Sprint("s", f.rand.IntN(servingImages))
-	j := f.handIn(watchProfile, 1, f.spec.watchWidth, 13_000, 500, 1200, 0, 2.2, 3000, f.spec.watchWorth, func(s *job.Step) {
-		s.LongRunning, s.Image, s.TargetMs, s.Spread = true, image, targetMs, 2
-	})
-	f.loads[j.def.ID] = servingLoad{level: 0.45, swing: 0.5, phase: 14 * f.rand.Float64()}
+	c := class{
+		profile: watchProfile, steps: 1, width: f.spec.watchWidth, milliCPU: 13_000, workMs: 500, maxWorkMs: 1200, stretch: 2.2,
+		objectiveMs: 3000, worth: f.spec.watchWorth,
+	}
+	j := f.handIn(c, func(s *job.Step) { s.LongRunning, s.Image, s.TargetMs, s.Spread = true, image, targetMs, 2 })
+	f.loads[j.def.ID] = servingLoad{level: 0.45, swing: 0.5, phase: servingPeriod * f.rand.Float64()}
 }
 
+// arrivals hands in the jobs of one Step.
 func (f *Fleet) arrivals() {
-	seconds := Step.Seconds()
-	if f.rand.Float64() < f.spec.checks*seconds {
-		f.handIn(checkProfile, 1+f.rand.IntN(2), f.spec.checkWidth, f.spec.checkCPU, f.spec.checkMs, 2.5*f.spec.checkMs, 0.3, 1.5, 600, f.spec.checkWorth, func(*job.Step) {})
+	if f.rand.Float64() < f.spec.checks*Step.Seconds() {
+		c := class{
+			profile: checkProfile, steps: 1 + f.rand.IntN(2), width: f.spec.checkWidth, milliCPU: f.spec.checkCPU, workMs: f.spec.checkMs,
+			maxWorkMs: 2.5 * f.spec.checkMs, uneven: 0.3, stretch: 1.5, objectiveMs: 600, worth: f.spec.checkWorth,
+		}
+		f.handIn(c, func(*job.Step) {})
 	}
-	if f.rand.Float64() < f.spec.proofs*seconds {
+	if f.rand.Float64() < f.spec.proofs*Step.Seconds() {
 		image := fmt.Sprint("b", f.rand.IntN(fillingImages))
-		f.handIn(proofProfile, 1+f.rand.IntN(3), f.spec.proofWidth, 7000, f.spec.proofMs, 2.5*f.spec.proofMs, 0.15, 2, 1000, f.spec.proofWorth, func(s *job.Step) {
-			s.Fills, s.Image, s.Checkpoints = true, image, true
-		})
+		c := class{
+			profile: proofProfile, steps: 1 + f.rand.IntN(3), width: f.spec.proofWidth, milliCPU: 7000, workMs: f.spec.proofMs,
+			maxWorkMs: 2.5 * f.spec.proofMs, uneven: 0.15, stretch: 2, objectiveMs: 1000, worth: f.spec.proofWorth,
+		}
+		f.handIn(c, func(s *job.Step) { s.Fills, s.Image, s.Checkpoints = true, image, true })
 	}
 }
 
+// HandInWide hands in a proof of one step with equal tasks.
 func (f *Fleet) HandInWide(tasks int) {
-	f.handIn(proofProfile, 1, tasks, 1000, 100, 200, 0, 2, 1000, 1, func(s *job.Step) {
-		s.Count, s.Fills, s.Image = tasks, true, "b1"
-	})
+	c := class{profile: proofProfile, steps: 1, width: tasks, milliCPU: 1000, workMs: 100, maxWorkMs: 200, stretch: 2, objectiveMs: 1000, worth: 1}
+	f.handIn(c, func(s *job.Step) { s.Count, s.Fills, s.Image = tasks, true, "b1" })
 }
--- a/bench/fleetload/result.go
+++ b/bench/fleetload/result.go
@@ -5,6 +5,7 @@
 	"time"
 )
 
+// Result is what the load has earned, as shares of what it could have.
 type Result struct {
 	Checks, Proofs, Watches, Total float64
 	OverSeconds                    float64 // of serving tasks beside filling ones
@@ -12,6 +13,10 @@
 	StartsPerSecond                float64
 }
 
+// Result rates the jobs that were handed in between two times after the start: those done within
+// their objective count fully, those within three times it count 0.15. A window of a serving job
+// counts the share of its tasks at work, less four times the share that filling tasks have brought
+// over the target.
 func (f *Fleet) Result(from, to time.Duration) Result {
 	owed, earned, r := map[string]float64{}, map[string]float64{}, Result{}
 	for _, j := range f.jobs {
--- a/bench/fleetload/worker.go
+++ b/bench/fleetload/worker.go
@@ -10,6 +10,7 @@
 	"camphorhead.example/camphorhead/request/job"
 )
 
+// worker is a worker with its agent, whose messages take delay.
 type worker struct {
 	agent    string
 	capacity int64
@@ -23,11 +24,13 @@
 	due      time.Time // of the next report
 }
 
+// delayedOrders are orders that arrive at a time.
 type delayedOrders struct {
 	at     time.Time
 	orders message.Orders
 }
 
+// run is a run at a worker, with the work that is left of it.
 type run struct {
 	order  message.StartRun
 	leftMs float64
@@ -38,6 +41,7 @@
 	over   time.Time
 }
 
+// work executes one Step at a worker.
 func (f *Fleet) work(now time.Time, w *worker) {
 	for len(w.inbox) > 0 && !w.inbox[0].at.After(now) {
 		for _, o := range w.inbox[0].orders.Starts {
@@ -100,11 +104,13 @@
 	})
 }
 
+// servingLoad returns the utilization of a serving task by its own users.
 func (f *Fleet) servingLoad(now time.Time, r *run) float64 {
 	l := f.loads[r.order.Key.Task.Job]
-	return l.level * (1 + l.swing*math.Sin(2*math.Pi*(float64(now.UnixMilli())/1000+l.phase)/14))
+	return l.level * (1 + l.swing*math.Sin(2*math.Pi*(float64(now.UnixMilli())/1000+l.phase)/servingPeriod))
 }
 
+// serve updates the tail latency of a serving task.
 func (f *Fleet) serve(now time.Time, w *worker, r *run, rate float64) {
 	load := f.servingLoad(now, r)
 	pressure := 0.0
@@ -132,6 +138,7 @@
 	}
 }
 
+// report sends the ends of a worker, and the measurements of its tasks every half second.
 func (f *Fleet) report(now time.Time, w *worker) {
 	sample := now.Sub(w.sampled) >= reportInterval
 	if !sample && (len(w.ends) == 0 || now.Before(w.due)) {
