process/schedule, process/entry: evacuations withdraw whole gangs and name what was recorded

Cause: withdrawing the unsent start of one member of a gang left the others waiting for it; and the API said that a change may have been recorded also where the store had refused it. Change: the other members are withdrawn or stopped too, and the gang is placed again as a whole; a refusal of the store is reported as such. Result: TestEvacuationWithdrawsWholeGangs fails before.

--- a/process/entry/evacuation.go
+++ b/process/entry/evacuation.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"camphorhead.example/camphorhead/connection/api"
+	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/request/outcome"
 )
 
@@ -55,7 +57,11 @@
 	ctx, cancel := context.WithTimeout(w.entry.runCtx, operationTimeout)
 	defer cancel()
 	if err := change(ctx, domain); err != nil {
-		w.writeError(x, "", outcome.New(outcome.StoreUncertain, "the evacuation may have been recorded: "+err.Error()))
+		failure := outcome.New(outcome.StoreUncertain, "the change may have been recorded: "+err.Error())
+		if errors.Is(err, platform.ErrUnavailable) {
+			failure = outcome.New(outcome.StoreUnavailable, "nothing was recorded: "+err.Error())
+		}
+		w.writeError(x, "", failure)
 		return
 	}
 	result := api.Evacuation{FailureDomain: domain, InForce: w.entry.node.Evacuated(domain)}
--- a/process/schedule/evacuation.go
+++ b/process/schedule/evacuation.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"camphorhead.example/camphorhead/process/event"
@@ -36,15 +37,37 @@
 			continue
 		}
 		workers++
-		for _, run := range append([]*runState(nil), a.pendingStarts...) {
-			t.release(run)
-			t.requeue(now, run.task)
+		for _, run := range slices.Clone(a.pendingStarts) {
+			t.withdraw(now, run)
 		}
 		tasks += len(a.runs)
 	}
 	return workers, tasks
 }
 
+// withdraw places the task of an unsent start again. The other members of a gang make no progress
+// without it, so they are withdrawn or stopped too.
+func (t *Table) withdraw(now time.Time, run *runState) {
+	if run.agent.runs[run.key()] != run {
+		return // withdrawn with another member of its gang
+	}
+	t.release(run)
+	t.requeue(now, run.task)
+	s := run.task.step
+	if !s.def.Gang {
+		return
+	}
+	for i := range s.tasks {
+		switch member := s.tasks[i].run; {
+		case member == nil:
+		case slices.Contains(member.agent.pendingStarts, member):
+			t.withdraw(now, member)
+		default:
+			t.stop(member)
+		}
+	}
+}
+
 // Evacuated returns the failure domains whose workers get no new runs, in no order.
 func (t *Table) Evacuated() []string {
 	t.mu.Lock()
--- a/process/schedule/evacuation_test.go
+++ b/process/schedule/evacuation_test.go
@@ -126,3 +126,35 @@
 		}
 	}
 }
+
+// Guards against members of a gang that wait alone because the starts of the others were withdrawn.
+func TestEvacuationWithdrawsWholeGangs(t *testing.T) {
+	b := newTestbench(t, 1)
+	for _, name := range []string{"a", "b", "c"} {
+		location := message.Location{Region: "near", Domain: name}
+		if name == "a" {
+			location.Region = "far"
+		}
+		b.report(name, message.Report{Session: 1, Full: true, Worker: workerInfo(name), Location: location})
+	}
+	b.register()
+	b.table.cfg.AdmitLink = func(region string, _ int) bool { return region == "near" }
+	def := definition("j", proofProfile, 3)
+	def.Steps[0].Gang, def.Steps[0].Spread, def.Steps[0].Need.MilliCPU = true, 1, 30_000
+	b.accept(def)
+	sent := b.starts()
+	require.Len(t, sent, 2, "the start of the third member waits for the link")
+	b.table.SetEvacuated(b.now(), []string{"a"})
+	stops := 0
+	for _, o := range b.table.Dispatch(b.now()) {
+		stops += len(o.Orders.Stops)
+		require.Empty(t, o.Orders.Starts)
+	}
+	require.Equal(t, 2, stops)
+	for k, agent := range sent {
+		b.report(agent, message.Report{Ends: []message.RunEnd{runEnd(k, job.EndStopped, 1)}})
+	}
+	b.table.SetEvacuated(b.now(), nil)
+	b.table.cfg.AdmitLink = nil
+	require.Len(t, b.starts(), 3)
+}
