process/schedule: keep the checkpoint of a stop across a change of the leader

A leader ignores the end of a run that it has no record of, unless the run is done or has failed, and with it the checkpoint of the stop, which only that end carries. Change: the checkpoint is kept, unless the run counts as ended by its lease or a later one is known. Result: TestCheckpointOfAStopSurvivesTheLeader fails before.

--- a/process/schedule/ends.go
+++ b/process/schedule/ends.go
@@ -53,6 +53,12 @@
 	superseded := run == nil && task.hasLaterRun(e.Key.Run)
 	task.lastRun = max(task.lastRun, e.Key.Run)
 	if run == nil && (e.Key.Run <= task.lastExpiredRun || superseded && !countsDespiteLaterRun(task, how) || how != job.EndDone && how != job.EndFailed) {
+		if how == job.EndStopped && e.Key.Run > task.lastExpiredRun && !superseded && e.Checkpoint != "" {
+			// A stop that an earlier leader ordered: the end decides nothing, but the task goes on from
+			// its checkpoint.
+			task.checkpoint = e.Checkpoint
+			t.saveCheckpoint(now, task)
+		}
 		t.logEnd(a, e, "superseded")
 		return
 	}
--- a/process/schedule/restored_ends_test.go
+++ b/process/schedule/restored_ends_test.go
@@ -198,3 +198,26 @@
 	b.commit()
 	require.Equal(t, job.Done, b.state("j"))
 }
+
+// Guards against a task that begins anew, although a run that the previous leader stopped has saved
+// its progress: the agent reports the end to the next leader only (seed 14 of TestSchedules).
+func TestCheckpointOfAStopSurvivesTheLeader(t *testing.T) {
+	for run, want := range map[uint32]string{1: "saved", 0: ""} {
+		b := newTestbench(t, 2)
+		def := definition("j", checkProfile, 1)
+		progress := job.NewProgress(def)
+		if run == 0 {
+			progress.SetExpired(key("j", 0, 0, 1).Task, 1) // the run counts as ended by its lease
+		}
+		b.table.Restore(b.now(), []Restored{{Definition: def, Progress: progress, Term: 1}}, leasesEnding(map[string]time.Time{"a": b.now().Add(time.Minute)}))
+		end := runEnd(key("j", 0, 0, 1), job.EndStopped, 1)
+		end.Checkpoint = "saved"
+		b.report("a", message.Report{Session: 1, Full: true, Worker: workerInfo("a"), Ends: []message.RunEnd{end}})
+		b.register()
+		b.report("a", message.Report{})
+		b.tick()
+		o := b.orders("a")
+		require.Len(t, o.Starts, 1)
+		require.Equal(t, want, o.Starts[0].Checkpoint)
+	}
+}
