process/runs, process/schedule: log what a restart of a worker leaves open

Cause: the logs could not tell whether a run that is given up was started at a worker instance that its agent had never heard, or was given up by the leader shortly after a restart. Change: start_answered_by_another_instance (7031) by the clock in the response to a start; calls in flight and silence in worker_reborn; unconfirmed runs and the age of the worker instance in agent_session_lapsed. No decision is changed. Result: go test ./process/event ./process/runs ./process/schedule passes.

--- a/process/event/catalogue.go
+++ b/process/event/catalogue.go
@@ -53,7 +53,7 @@
 
 var membershipEvents = []Definition{
 	{AgentJoined, "agent_joined", Info, "agent joined", withUnits("agent session address"), noAction},
-	{AgentSessionExpired, "agent_session_lapsed", Error, "session of an agent has expired", withUnits("agent session tasks age_ms source"), "Check the host. Its tasks resume on other workers. age_ms is the age of its last report; source is what confirmed the term after the lease: store or followers."},
+	{AgentSessionExpired, "agent_session_lapsed", Error, "session of an agent has expired", withUnits("agent session tasks unconfirmed age_ms worker_age_ms source"), "Check the host. Its tasks resume on other workers. unconfirmed is the number of these whose start was not confirmed; age_ms is the age of its last report; worker_age_ms is how long its worker instance has been known; source is what confirmed the term after the lease: store or followers."},
 	{LeaderKnown, "leader_known", Info, "leader is known", withUnits("term entry address source"), noAction},
 	{TermBegun, "term_begun", Info, "this entry has become the leader", withUnits("term jobs unproven wait_ms reason"), "wait_ms is how long this leader waits for agents that have not reported and may have runs; reason is why."},
 	{TermNotBegun, "term_not_begun", Info, "this entry could not begin a term", withUnits("term error"), "If no entry leads, check the store."},
@@ -116,7 +116,7 @@
 	{WorkerLeft, "worker_left", Info, "worker has left", withUnits("worker"), noAction},
 	{WorkerUnreachable, "worker_silent", Error, "worker does not respond", withUnits("worker silent_ms error"), "Check the worker. Its runs end when their lease expires."},
 	{WorkerReachable, "worker_answers", Info, "worker responds", withUnits("worker silent_ms"), noAction},
-	{WorkerRestarted, "worker_reborn", Info, "another instance of the worker responds", withUnits("worker tasks"), "Check why the worker ended."},
+	{WorkerRestarted, "worker_reborn", Info, "another instance of the worker responds", withUnits("worker tasks silent_ms pending_calls"), "Check why the worker ended. silent_ms is the time since the last listing of the previous instance; pending_calls is the number of calls that were made for that one and may reach this one."},
 	{AnnouncementRefused, "announcement_refused", Error, "announcement of a worker cannot be used", withUnits("source error refused"), "Check which program sends to the registry address of the agent."},
 	{ServingOverTarget, "serving_over_target", Info, "serving task is over its latency target", withUnits("task run tail_ms target_ms"), "If it persists while no filling tasks run on the worker, the task needs more processors."},
 	{RunPaced, "run_paced", Info, "pace of a filling task is set", withUnits("task run percent"), noAction},
@@ -126,6 +126,7 @@
 	{RunReappeared, "run_reappeared", Error, "worker lists a run that the agent has reported as ended or refused", withUnits("task run cause age_ms"), "The task may have run twice; report it with the log of the agent."},
 	{TaskIdle, "task_idle", Info, "long-running task has no confirmed run", withUnits("term task state wait_ms agent agents run reachable age_ms workers excluded"), "The state names the cause; see OPERATIONS.md."},
 	{TasksIdle, "tasks_idle", Info, "further long-running tasks have no confirmed run; their lines are left out", withUnits("term state tasks"), "See task_idle."},
+	{StartAnsweredByAnotherInstance, "start_answered_by_another_instance", Info, "start was answered by a worker instance that has not been listed", withUnits("worker task run behind_ms"), "Check why the worker ended. behind_ms is how far the clock in the response is behind that of the listed instance; the run's lease is the longest that the worker grants."},
 }
 
 var operatorEvents = []Definition{
--- a/process/event/field.go
+++ b/process/event/field.go
@@ -15,6 +15,7 @@
 	"lines":            "count",
 	"attempt":          "count",
 	"based_on_version": "version",
+	"behind_ms":        "ms",
 	"bytes":            "bytes",
 	"cause":            "text",
 	"component":        "text",
@@ -73,6 +74,7 @@
 	"term":             "count",
 	"tickets":          "count",
 	"unanswered":       "true, false",
+	"unconfirmed":      "count",
 	"unfinished":       "count",
 	"unproven":         "count",
 	"version":          "version",
@@ -80,6 +82,7 @@
 	"wait_ms":          "ms",
 	"worker":           "id",
 	"workers":          "count",
+	"worker_age_ms":    "ms",
 }
 
 func isFieldName(name string) bool {
--- a/process/event/id.go
+++ b/process/event/id.go
@@ -125,6 +125,7 @@
 	RunReappeared
 	TaskIdle
 	TasksIdle
+	StartAnsweredByAnotherInstance
 )
 
 // Operators: 8000 to 8999.
--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -81,9 +81,12 @@
 		}
 		began := n.cfg.Clock.Now()
 		bounded, cancel := context.WithTimeout(ctx, n.cfg.Timing.WorkerCallTimeout)
-		// The clock in the response is not used: it does not tell which instance has responded.
-		_, err := n.cfg.Worker.Start(bounded, req)
+		clockMs, err := n.cfg.Worker.Start(bounded, req)
 		cancel()
+		if lag := lease.clockLag(clockMs); lag > 0 {
+			n.cfg.Log.Emit(event.StartAnsweredByAnotherInstance, "worker", req.Instance, "task", r.order.Key.Task.String(),
+				"run", r.order.Key.Run, "behind_ms", lag.Milliseconds())
+		}
 		n.finishStart(r, lease, req.Token, err)
 		var refusal *platform.RefusalError
 		switch {
--- a/process/runs/instance.go
+++ b/process/runs/instance.go
@@ -13,7 +13,8 @@
 func (n *Node) applyInstance(now time.Time, list *platform.Listing) (expired bool) {
 	if n.instanceStartMs != list.StartedMs {
 		if n.instanceStartMs != 0 {
-			n.cfg.Log.Emit(event.WorkerRestarted, "worker", n.worker.ID, "tasks", len(n.runs))
+			n.cfg.Log.Emit(event.WorkerRestarted, "worker", n.worker.ID, "tasks", len(n.runs),
+				"silent_ms", elapsedMs(now, n.listedAt), "pending_calls", len(n.lease.inFlight))
 		}
 		n.replaceInstance(list)
 	} else {
--- a/process/runs/lease.go
+++ b/process/runs/lease.go
@@ -19,18 +19,31 @@
 
 // leaseRequest is a poll or a start in flight.
 type leaseRequest struct {
-	end time.Time // of the requested lease; zero: the call extends nothing
+	end    time.Time // of the requested lease; zero: the call extends nothing
+	sentAt time.Time
+	clock  workerClock // by which the lease was requested
+}
+
+// clockLag returns how far the clock in a response is behind the lowest value that the instance
+// for which the call was made may show, whose clock may be slow; 0: it is not behind, or a clock
+// is unknown. Another instance has responded if it is behind.
+func (q *leaseRequest) clockLag(responseMs int64) time.Duration {
+	if responseMs <= 0 || q.clock.readAt.IsZero() {
+		return 0
+	}
+	elapsed := float64(q.sentAt.Sub(q.clock.readAt).Milliseconds()) * leaseClockFactor
+	return max(time.Duration(q.clock.valueMs+int64(elapsed)-responseMs)*time.Millisecond, 0)
 }
 
 func newWorkerLease() workerLease { return workerLease{inFlight: map[*leaseRequest]struct{}{}} }
 
 // request records a call that is about to be sent, and reports whether the lease has expired.
-func (l *workerLease) request(now, end time.Time) (q *leaseRequest, expired bool) {
+func (l *workerLease) request(now, end time.Time, clock workerClock) (q *leaseRequest, expired bool) {
 	previous := l.requested()
 	if expired = !previous.IsZero() && now.After(previous); expired {
 		l.lapsedAt = now
 	}
-	q = &leaseRequest{end: end}
+	q = &leaseRequest{end: end, sentAt: now, clock: clock}
 	l.inFlight[q] = struct{}{}
 	return q, expired
 }
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -97,7 +97,7 @@
 // start from before the expiry that is still on its way must not be executed under the new
 // lease, as its task may have been started elsewhere. The caller holds mu.
 func (n *Node) requestLease(now, end time.Time) *leaseRequest {
-	q, expired := n.lease.request(now, end)
+	q, expired := n.lease.request(now, end, n.clock)
 	if expired && !end.IsZero() {
 		n.token++
 	}
--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -22,6 +22,7 @@
 	sequence       uint64    // of the latest applied report of the session
 	reportedAt     time.Time // when that report was applied
 	worker         message.WorkerInfo
+	workerKnownAt  time.Time // when this instance of the worker was first reported
 	node           placement.Node
 	runs           map[job.RunKey]*runState // runs that may be alive at the worker
 	ends           []pendingEnd             // in the order of their serials
@@ -74,7 +75,7 @@
 	a.sequence = r.Sequence
 	a.reportedAt = now
 	if r.Worker != nil {
-		t.updateWorker(a, r.Worker)
+		t.updateWorker(now, a, r.Worker)
 	}
 	if r.Summary != nil {
 		t.applySummary(a, r.Summary)
@@ -174,8 +175,9 @@
 }
 
 // updateWorker stores the reported state of a worker. A restart resets its health.
-func (t *Table) updateWorker(a *agentState, w *message.WorkerInfo) {
-	if w.StartedMs != a.worker.StartedMs {
+func (t *Table) updateWorker(now time.Time, a *agentState, w *message.WorkerInfo) {
+	if w.StartedMs != a.worker.StartedMs || a.workerKnownAt.IsZero() {
+		a.workerKnownAt = now
 		t.setHealth(a, health{})
 	}
 	a.worker = *w
@@ -233,8 +235,15 @@
 // expireSession removes an agent whose lease is known to have expired, and its runs, which
 // have therefore ended. Their tasks are requeued.
 func (t *Table) expireSession(now time.Time, a *agentState) {
-	t.cfg.Log.Emit(event.AgentSessionExpired, "agent", a.id, "session", a.session, "tasks", len(a.runs),
-		"age_ms", now.Sub(a.reportedAt).Milliseconds(), "source", string(t.termConfirmedBy))
+	unconfirmed := 0
+	for _, run := range a.runs {
+		if run.confirmedAt.IsZero() {
+			unconfirmed++
+		}
+	}
+	t.cfg.Log.Emit(event.AgentSessionExpired, "agent", a.id, "session", a.session, "tasks", len(a.runs), "unconfirmed", unconfirmed,
+		"age_ms", now.Sub(a.reportedAt).Milliseconds(), "worker_age_ms", now.Sub(a.workerKnownAt).Milliseconds(),
+		"source", string(t.termConfirmedBy))
 	t.cfg.Meter.Add(metrics.LeasesExpired, 1)
 	for _, run := range a.runs {
 		t.measureEnd(now, run, job.EndLeaseExpired)
