process/schedule: keep an agent in the leases' list until its ends are durable

The list of agents in the store left out the agent of a draining worker as soon as its last run had ended. The end itself may reach the store in a later transaction, as one takes about twelve changed jobs. If the leader ends between the two, the next one loads a record without the end and does not wait for the agent. It starts the task again at once; the agent's report of the end comes after that, does not count because of the later run, and is acknowledged.

An agent with ends that are not durable now stays in the list, so the next leader waits for its full report or for the end of its lease.

TestAgentWithAnEndThatIsNotDurableIsWaitedFor failed before with "Should be empty, but was map[{j.0.0.0 4097}:b]: the run may be alive or done".

--- a/process/schedule/agent_leases.go
+++ b/process/schedule/agent_leases.go
@@ -6,8 +6,9 @@
 	"time"
 )
 
-// AgentLeases lists the agents that may have runs, for the leader of the next term: it waits for
-// them or for the end of their leases before it places tasks of earlier terms.
+// AgentLeases lists the agents that may have runs, or ends that are not durable, for the leader of
+// the next term: it waits for them or for the end of their leases before it places tasks of earlier
+// terms.
 type AgentLeases struct {
 	Term uint64 `msgpack:"t"` // of the leader that made the list
 	// Closed: that leader grants no lease any more.
@@ -114,13 +115,14 @@
 	return t.storedLeases.Closed
 }
 
-// agentLeases returns the list of the agents that may have runs. An agent without runs whose
-// worker drains gets none, so the next leader need not wait for it, which may have left by then.
+// agentLeases returns the list of the agents that may have runs, or ends that are not durable. An
+// agent without either whose worker drains gets no runs, so the next leader need not wait for it,
+// which may have left by then.
 // One whose lease is pending is listed all the same: it reports until it has the lease.
 func (t *Table) agentLeases(now time.Time, storeServes bool) AgentLeases {
 	list := AgentLeases{Term: t.cfg.Term, Closed: t.closed}
 	for id, a := range t.agents {
-		if a.worker.Draining && len(a.runs) == 0 && !t.withheld[id] {
+		if a.worker.Draining && len(a.runs) == 0 && len(a.ends) == 0 && !t.withheld[id] {
 			continue
 		}
 		lease := AgentLease{Agent: id}
--- a/process/schedule/durable_agents_test.go
+++ b/process/schedule/durable_agents_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -63,6 +64,8 @@
 	b.report("a", message.Report{Worker: draining})
 	require.Equal(t, []string{"a", "b"}, durable(), "a run of the worker may be alive")
 	b.report("a", message.Report{Ends: []message.RunEnd{runEnd(k, job.EndLeaseExpired, 1)}})
+	require.Equal(t, []string{"a", "b"}, durable(), "the end is not durable")
+	b.commit()
 	require.Equal(t, []string{"b"}, durable())
 	_, at := onlyEntry(t, b.starts())
 	require.Equal(t, "b", at)
@@ -76,3 +79,31 @@
 	}
 	require.Equal(t, []string{"a", "b"}, durable())
 }
+
+// Guards against a task that runs again although it is done: the store has lost the agent of a
+// draining worker from its list before it contains the end of the worker's last run, so the next
+// leader does not wait for the agent, which reports the end to it after the second start.
+func TestAgentWithAnEndThatIsNotDurableIsWaitedFor(t *testing.T) {
+	b := newTestbench(t, 1)
+	b.join("a")
+	def := definition("j", checkProfile, 1)
+	b.accept(def)
+	k, _ := onlyEntry(t, b.starts())
+	draining := workerInfo("a")
+	draining.Draining = true
+	b.report("a", message.Report{Worker: draining, Ends: []message.RunEnd{runEnd(k, job.EndDone, 1)}})
+	list, _ := b.table.TakeAgentLeases(b.now(), true)
+
+	next := newTestbench(t, 2) // the previous leader has written the list, but not the end
+	leases := map[string]time.Time{}
+	for _, agent := range list.ids() {
+		leases[agent] = next.now().Add(testLease)
+	}
+	next.table.Restore(next.now(), []Restored{{Definition: def, Term: 1}}, leasesEnding(leases))
+	next.join("b")
+	require.Empty(t, next.starts(), "the run may be alive or done")
+	next.report("a", message.Report{Session: 2, Full: true, Worker: draining, Ends: []message.RunEnd{runEnd(k, job.EndDone, 1)}})
+	require.Empty(t, next.starts())
+	next.commit()
+	require.Equal(t, job.Done, next.state("j"))
+}
