integration: show runs of a restarted worker that are repeated elsewhere

A worker that restarts under its id accepts the calls that were made for its former life. Its clock begins anew, so it takes their deadline as the longest lease that it grants, twice what its agent asks for.

For that, the longest lease of the workers follows lease.worker_max_ms of the agents (as before, it is the lease that agents ask for unless a test sets more), links can keep blocked connections open when a side closes them, the announcements of a worker have a link, and the worker's stand-in can take one call per connection, so that starts reach the new life while the poll waits. verify() reports concurrent runs as before; they are returned by verifyRuns.

--- a/integration/deployment_test.go
+++ b/integration/deployment_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,6 +78,9 @@
 	standin *process
 	config  standinConfig
 	worker  *link // from the agent to its worker; nil without withWorkerLinks
+	// registry is the link from the worker to its agent's registry; nil without withWorkerLinks
+	// or without the platform's protocol.
+	registry *link
 }
 
 // linkKey names a link by the ids of the process that dials and the one that it dials.
@@ -98,6 +102,10 @@
 	entryCount  int
 	lease       settings.Lease // of all processes
 	callTimeout time.Duration
+	capacity    resources.Resources // of each worker
+	// connectionPerCall: the workers take one call on each connection.
+	connectionPerCall bool
+	tasksPerJob       atomic.Int64 // of the jobs of long tasks
 }
 
 // storeID is the name of the store in link keys.
@@ -126,7 +134,7 @@
 	t.Cleanup(func() { <-deploymentTokens })
 	d := &deployment{
 		t: t, dir: logFolder(t), links: map[linkKey]*link{}, proxyServer: newProxyServer(),
-		client: &fasthttp.Client{MaxConnsPerHost: 1024}, calls: &callLog{}, callTimeout: callTimeout, entryCount: entryCount,
+		client: &fasthttp.Client{MaxConnsPerHost: 1024}, calls: &callLog{}, callTimeout: callTimeout, entryCount: entryCount, capacity: hostCapacity,
 		lease: settings.Lease{
 			TaskMs: taskLease.Milliseconds(), HeartbeatMs: heartbeatInterval.Milliseconds(),
 			LeaderMs: leaderTimeout.Milliseconds(), OutageMs: maxStoreOutage.Milliseconds(), WorkerMs: taskLease.Milliseconds(),
--- a/integration/leaderchanges_test.go
+++ b/integration/leaderchanges_test.go
@@ -200,7 +200,7 @@
 		d.eventually(readyTimeout, "all long-running tasks run", allRun)
 		_, count := d.countRunning(lasting.id)
 		departs := slices.MaxFunc(d.hosts, func(a, b *host) int { return cmp.Compare(count[a.config.Name], count[b.config.Name]) })
-		stop := d.startJobLoad(rand.New(rand.NewPCG(seed, 7)), leaderChangesJobInterval)
+		stop := d.startJobLoad(rand.New(rand.NewPCG(seed, 7)), leaderChangesJobInterval, randomJob)
 		d.inject(append(faults, departureSchedule(departs, rng)...), rng)
 		for deadline := time.Now().Add(settlingTime); !allRun() && time.Now().Before(deadline); {
 			time.Sleep(pollInterval)
--- a/integration/link_test.go
+++ b/integration/link_test.go
@@ -27,6 +27,9 @@
 type timedFreeze struct {
 	Until   int64 `json:"until"`   // unix milliseconds
 	Deliver int64 `json:"deliver"` // unix milliseconds; 0 means never
+	// Silent keeps a blocked connection open when the other side closes it, as if that side's
+	// host had failed.
+	Silent bool `json:"silent"`
 }
 
 // deliveredLate counts the chunks that a timedFreeze has delivered.
@@ -62,7 +65,7 @@
 			switch {
 			case chunk != nil:
 				chunks = append(chunks, chunk)
-			case release == nil:
+			case release == nil && !f.Silent:
 				stub.Close()
 				return
 			default:
@@ -136,6 +139,15 @@
 	}
 }
 
+// silence is freeze that does not pass on either when a side closes a blocked connection.
+// Connections that are opened within window are blocked as well.
+func (l *link) silence(t *testing.T, window time.Duration, directions ...string) {
+	until := time.Now().Add(window).UnixMilli()
+	for _, d := range directions {
+		l.addToxic(t, "freeze", d, fmt.Sprintf(`{"until":%d,"silent":true}`, until))
+	}
+}
+
 // stall buffers what is sent on the open connections and delivers it after d; new ones
 // work.
 func (l *link) stall(t *testing.T, direction string, d time.Duration) {
--- a/integration/plan_test.go
+++ b/integration/plan_test.go
@@ -35,10 +35,11 @@
 		}
 		h.config = standinConfig{
 			Name: fmt.Sprintf("host-%d", i), Control: freeAddress(d.t), Worker: freeAddress(d.t), Target: freeAddress(d.t),
-			Agent: h.agent.settings.HTTP.Listen, Service: service, Slots: slots, Seed: uint64(i + 1), Capacity: hostCapacity,
+			Agent: h.agent.settings.HTTP.Listen, Service: service, Slots: slots, Seed: uint64(i + 1), Capacity: d.capacity,
 		}
 		h.config.ClockStartMs, h.config.ClockRate = int64(1+i)*workerClockStartMs, workerClockRates[i%len(workerClockRates)]
-		h.config.Need = taskNeed
+		h.config.ConnectionPerCall = d.connectionPerCall
+		h.config.Need, h.config.MaxLease = taskNeed, d.lease.WorkerMax()
 		h.agent.settings.Worker.URL = "http://" + h.config.Worker
 		if d.workerLinks {
 			h.worker = newLink(d.t, d.proxyServer, h.config.Worker)
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -98,6 +98,10 @@
 		s.Worker.Protocol, s.Worker.Service, s.Worker.Registry = settings.ProtocolPlatform, service, freeAddress(d.t)
 		s.Store.URL = "http://" + d.newLink(h.agent, storeID, d.storeConfig.Store)
 		h.config.Registry = s.Worker.Registry
+		if d.workerLinks {
+			h.registry = newLink(d.t, d.proxyServer, s.Worker.Registry)
+			h.config.Registry = h.registry.listen
+		}
 	}
 }
 
@@ -144,9 +148,9 @@
 	return s.accepted
 }
 
-// startJobLoad submits a random job every interval to both entries in turn until stop, and
+// startJobLoad submits a job of newJob every interval to all entries in turn until stop, and
 // cancels some of them. Each is sent up to four times.
-func (d *platformDeployment) startJobLoad(rng *rand.Rand, interval time.Duration) (stop func()) {
+func (d *platformDeployment) startJobLoad(rng *rand.Rand, interval time.Duration, newJob func(*rand.Rand) *submittedJob) (stop func()) {
 	end, ended := make(chan struct{}), make(chan struct{})
 	var sending sync.WaitGroup
 	go func() {
@@ -160,7 +164,7 @@
 				return
 			case <-ticker.C:
 			}
-			s := d.randomJob(rng)
+			s := newJob(rng)
 			cancels := rng.IntN(8) == 0
 			d.mu.Lock()
 			d.jobs = append(d.jobs, s)
@@ -198,7 +202,7 @@
 }
 
 // randomJob returns a job of two steps, a repeated job, or a job of one step, rarely long-running.
-func (d *platformDeployment) randomJob(rng *rand.Rand) *submittedJob {
+func randomJob(rng *rand.Rand) *submittedJob {
 	j := caller.Job{Input: bodyWithDuration(randomDuration(rng, maxPlatformTask), "work"), Steps: oneStep(1 + rng.IntN(3))}
 	switch rng.IntN(10) {
 	case 0:
@@ -243,7 +247,7 @@
 func runPlatformSoak(t *testing.T, seed uint64, faults []scheduledFault, rng *rand.Rand, jobInterval time.Duration, options ...option) {
 	t.Helper()
 	d := deployPlatform(t, options...)
-	stop := d.startJobLoad(rand.New(rand.NewPCG(seed, 3)), jobInterval)
+	stop := d.startJobLoad(rand.New(rand.NewPCG(seed, 3)), jobInterval, randomJob)
 	d.inject(faults, rng)
 	stop()
 	for entry := range d.entries {
@@ -257,10 +261,26 @@
 	d.verify()
 }
 
-// verify checks the runs at all workers: no start exceeded a worker's capacity, the runs of a
-// task do not overlap, each has a higher number than the one before, no second step began before
-// the first was done, no task of a cancelled job started late, and no job ran that was refused.
+// verify checks the runs at all workers as verifyRuns does, and that the runs of a task do not
+// overlap.
 func (d *platformDeployment) verify() {
+	for _, c := range d.verifyRuns() {
+		assert.Fail(d.t, c.String())
+	}
+}
+
+// concurrentRuns are two runs of a task of which the second began before the first had ended.
+type concurrentRuns struct{ first, second run }
+
+func (c concurrentRuns) String() string {
+	return fmt.Sprintf("task %s had two concurrent runs:\n%+v\n%+v", c.first.Task, c.first, c.second)
+}
+
+// verifyRuns checks the runs at all workers: no start exceeded a worker's capacity, each run of a
+// task has a higher number than the one before, no second step began before the first was done,
+// no task of a cancelled job started late, and no job ran that was refused. It returns the pairs
+// of runs that overlap.
+func (d *platformDeployment) verifyRuns() (concurrent []concurrentRuns) {
 	runs, read, overcommits := map[string][]run{}, time.Now(), 0
 	for _, h := range d.hosts {
 		var report workerHistory
@@ -276,13 +296,16 @@
 		slices.SortFunc(list, func(a, b run) int { return a.Start.Compare(b.Start) })
 		for i, r := range list[1:] {
 			before := list[i]
-			assert.False(d.t, before.end(read).After(r.Start), "task %s had two concurrent runs:\n%+v\n%+v", task, before, r)
+			if before.end(read).After(r.Start) {
+				concurrent = append(concurrent, concurrentRuns{before, r})
+			}
 			assert.True(d.t, before.numberedBefore(r), "task %s:\n%+v\n%+v", task, before, r)
 		}
 	}
 	for _, s := range d.jobs {
 		d.verifyJob(s, runs)
 	}
+	return concurrent
 }
 
 func (d *platformDeployment) verifyJob(s *submittedJob, runs map[string][]run) {
--- a/integration/standin_test.go
+++ b/integration/standin_test.go
@@ -65,6 +65,9 @@
 	Need         resources.Resources
 	ClockStartMs int64
 	ClockRate    float64
+	MaxLease     time.Duration
+	// ConnectionPerCall belongs to the calls to the worker.
+	ConnectionPerCall bool
 }
 
 // workerHistory is the response of a host's control listener to the command worker.
@@ -135,8 +138,9 @@
 func startHost(cfg standinConfig) (map[string]commandFunc, error) {
 	w, err := worker.New(worker.Config{
 		Name: cfg.Name, Address: cfg.Worker, Capacity: cfg.Capacity, Seed: cfg.Seed, Behaviour: behaviourFromInput,
-		Need: cfg.Need, ClockStartMs: cfg.ClockStartMs, ClockRate: cfg.ClockRate, MaxLease: taskLease,
-		AnnounceInterval: announceInterval,
+		Need: cfg.Need, ClockStartMs: cfg.ClockStartMs, ClockRate: cfg.ClockRate, MaxLease: cfg.MaxLease,
+		ConnectionPerCall: cfg.ConnectionPerCall,
+		AnnounceInterval:  announceInterval,
 	})
 	if err != nil {
 		return nil, err
--- a/standin/worker/fault.go
+++ b/standin/worker/fault.go
@@ -48,6 +48,9 @@
 		serve.Abort(rc)
 		return
 	}
+	if w.config.ConnectionPerCall {
+		rc.SetConnectionClose()
+	}
 	path := string(rc.Path())
 	isStart := path == platform.PathStart || path == wirePathStart
 	switch draw := rand.IntN(100); {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -43,6 +43,9 @@
 	AnnounceInterval time.Duration // 0 means DefaultAnnounceInterval
 	UsageLag         time.Duration // age of the usage in listings
 	FailAllAfter     time.Duration // 0 means DefaultFailAllAfter
+	// ConnectionPerCall closes a connection after the response to a call, so that the next call
+	// arrives on another one.
+	ConnectionPerCall bool
 }
 
 // Worker implements platform.Worker and serves it over HTTP, also by the platform's protocol.
