process/runs: count the leases of worker instances that have not been listed

Callers saw two runs of one task (TWICE). A worker that restarts under its ID executes starts that were made for its previous instance. Its clock begins anew, so the lease is the longest that it grants (6 s), not the 3 s that the agent asked for.

Cause: the agent accounted for the leases that it requests by the clock of the listed instance. If the worker was cut off before the next instance was listed, the agent took a run as ended with the lease that it had asked for, whether the start was answered or not, and the leader started its task elsewhere. A start that is executed late, up to 12 s after it was sent, had no lease after that.

Change: a response to a start whose clock is behind that of the listed instance resolves nothing, a refusal neither; the poll that waits for the previous instance ends at once, and nothing requests a lease until a listing. A call without a response counts for the time in which it may be executed and the longest lease after that, for the runs whose start may have been among them. Other runs end with the requested lease as before.

--- a/process/platform/worker.go
+++ b/process/platform/worker.go
@@ -112,9 +112,10 @@
 // an error other than RefusalError and ErrUnavailable, the call may have taken effect,
 // or may take effect seconds later.
 type Worker interface {
-	// Hold extends the lease and returns a listing.
+	// Hold extends the lease and returns a listing. Cancelling ctx may end the call at once.
 	Hold(ctx context.Context, r HoldRequest) (Listing, error)
-	// Start starts a run; it also succeeds if the run exists already.
+	// Start starts a run; it also succeeds if the run exists already. clockMs is the clock of the
+	// instance that has responded, 0 if unknown; it may come with a RefusalError.
 	Start(ctx context.Context, r RunRequest) (clockMs int64, err error)
 	// Stop ends a run; if it does not exist, the worker refuses a later start of it. The
 	// run has ended once a listing contains its end.
--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/metrics"
@@ -86,6 +88,7 @@
 		if lag := lease.clockLag(clockMs); lag > 0 {
 			n.cfg.Log.Emit(event.StartAnsweredByAnotherInstance, "worker", req.Instance, "task", r.order.Key.Task.String(),
 				"run", r.order.Key.Run, "behind_ms", lag.Milliseconds())
+			err = errAnotherInstance
 		}
 		n.finishStart(r, lease, req.Token, err)
 		var refusal *platform.RefusalError
@@ -157,6 +160,10 @@
 	n.refuse(r, string(reason), unhealthy)
 }
 
+// errAnotherInstance means that a worker instance has answered a start which was made for an
+// earlier one. It resolves nothing: only a listing shows which runs that instance has.
+var errAnotherInstance = errs.New("another worker instance has responded")
+
 // finishStart records the return of a start. If it had no response, finishStart raises the
 // token, so that the worker refuses the start if it has not executed it before the next call
 // arrives.
@@ -165,14 +172,18 @@
 	defer n.mu.Unlock()
 	n.lease.finish(lease, !errors.Is(err, platform.ErrUnavailable))
 	r.startInFlight = false
-	var refusal *platform.RefusalError
-	if err == nil || errors.As(err, &refusal) || errors.Is(err, platform.ErrUnavailable) {
+	if !hadNoResponse(err) {
 		return
 	}
-	r.noResponseAt = n.cfg.Clock.Now()
+	now := n.cfg.Clock.Now()
+	r.noResponseAt = now
+	n.lease.extendUnlisted(now.Add(lateCallWindow + n.cfg.Timing.longestLease()))
 	if n.token == token {
 		n.token++
 	}
+	if errors.Is(err, errAnotherInstance) {
+		n.suspectRestart()
+	}
 }
 
 // startObsolete reports whether the start of an unconfirmed run must no longer be sent: it is to
--- a/process/runs/instance.go
+++ b/process/runs/instance.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"context"
 	"time"
 
 	"camphorhead.example/camphorhead/process/event"
@@ -25,8 +26,7 @@
 		n.voidEnds()
 	}
 	if !n.fenced {
-		longest := max(n.cfg.Timing.WorkerLease, n.cfg.Timing.MaxWorkerLease)
-		n.lease.unknownUntil = now.Add(time.Duration(float64(longest) / leaseClockFactor))
+		n.lease.unknownUntil = now.Add(n.cfg.Timing.longestLease())
 		n.fenced = n.pollToken >= n.fenceToken
 	}
 	if list.ClockMs > 0 {
@@ -61,3 +61,20 @@
 func (n *Node) leaseOutlivesGrant() bool {
 	return n.sharesID && (!n.fenced || n.lease.unknownUntil.After(n.grantEnd))
 }
+
+// suspectRestart makes the next poll find out at once which instance responds. Until then calls
+// request no lease, since the clock by which they would may not be that of the instance which they
+// reach. The caller holds mu.
+func (n *Node) suspectRestart() {
+	n.unresponsive = true
+	if n.cancelPoll != nil {
+		n.cancelPoll()
+	}
+}
+
+// setPollCancel sets what ends the poll in progress.
+func (n *Node) setPollCancel(cancel context.CancelFunc) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cancelPoll = cancel
+}
--- a/process/runs/lease.go
+++ b/process/runs/lease.go
@@ -12,6 +12,10 @@
 	// unknownUntil is until when the worker may hold a lease that was not requested for it by
 	// this process, but by an earlier one or for an earlier worker instance; zero: none.
 	unknownUntil time.Time
+	// unlistedUntil is until when an instance of the worker that has not been listed may hold a
+	// lease; zero: none can. A call without a response may reach one that has restarted under its
+	// ID; by the younger clock of that one the lease is the longest that the worker grants.
+	unlistedUntil time.Time
 	// lapsedAt is when a call or a listing last found the lease expired; zero: none has since
 	// the latest listing whose poll was sent then or later.
 	lapsedAt time.Time
@@ -63,6 +67,24 @@
 	}
 }
 
+// extendUnlisted records that an instance which has not been listed may hold a lease until a time.
+func (l *workerLease) extendUnlisted(until time.Time) {
+	if until.After(l.unlistedUntil) {
+		l.unlistedUntil = until
+	}
+}
+
+// mayLastUnlisted reports whether an instance that has not been listed may hold a lease: also by a
+// call in flight, however long ago it was sent.
+func (l *workerLease) mayLastUnlisted(now time.Time) bool {
+	for q := range l.inFlight {
+		if !q.end.IsZero() {
+			return true
+		}
+	}
+	return now.Before(l.unlistedUntil)
+}
+
 // requested returns the latest end that was requested; zero: none.
 func (l *workerLease) requested() time.Time {
 	end := l.returned
--- a/process/runs/node.go
+++ b/process/runs/node.go
@@ -48,6 +48,13 @@
 	WorkerCallTimeout time.Duration // of a call to the worker; a poll has its Wait in addition
 }
 
+// longestLease returns how long a lease may last after the call that requested it, by the agent's
+// clock: a worker shortens one that is too long by its clock, such as one that was requested from
+// an earlier instance, to the longest that it grants.
+func (t *Timing) longestLease() time.Duration {
+	return time.Duration(float64(max(t.WorkerLease, t.MaxWorkerLease)) / leaseClockFactor)
+}
+
 // Config holds the dependencies and settings of a Node.
 type Config struct {
 	ID       string
@@ -116,7 +123,8 @@
 	// a higher one. sharesID: until then it may have, since they name the same ID.
 	fenceToken       int64
 	fenced, sharesID bool
-	unresponsive     bool // the latest poll had no response
+	unresponsive     bool               // the latest poll had no response, or the worker seems to have restarted since
+	cancelPoll       context.CancelFunc // of the latest poll
 	// listedAt is when the latest listing arrived, polledAt when the poll of the latest one with
 	// all ends was sent; zero: none.
 	listedAt, polledAt time.Time
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -22,8 +22,8 @@
 	// leaseClockFactor shortens the lease that is requested from the worker, whose
 	// clock may be 2% slow.
 	leaseClockFactor = 0.97
-	// lateStartWindow is how long the worker may still execute a start that had no response.
-	lateStartWindow = 13 * time.Second
+	// lateCallWindow is how long the worker may still execute a call that had no response.
+	lateCallWindow = 13 * time.Second
 )
 
 // pollLoop polls the worker, which lists its runs and renews its lease, until ctx ends.
@@ -48,6 +48,7 @@
 	req, lease := n.holdRequest(sent)
 	bounded, cancel := context.WithTimeout(ctx, req.Wait+n.cfg.Timing.WorkerCallTimeout)
 	defer cancel()
+	n.setPollCancel(cancel)
 	list, err := n.cfg.Worker.Hold(bounded, req)
 	now := n.cfg.Clock.Now()
 	n.finishLease(lease, err)
@@ -104,11 +105,21 @@
 	return q
 }
 
-// finishLease records the return of a poll or start.
+// finishLease records the return of a poll.
 func (n *Node) finishLease(q *leaseRequest, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.lease.finish(q, !errors.Is(err, platform.ErrUnavailable))
+	if !q.end.IsZero() && hadNoResponse(err) {
+		n.lease.extendUnlisted(n.cfg.Clock.Now().Add(lateCallWindow + n.cfg.Timing.longestLease()))
+	}
+}
+
+// hadNoResponse reports whether a call failed in a way that leaves open whether the worker has
+// executed it or will.
+func hadNoResponse(err error) bool {
+	var refusal *platform.RefusalError
+	return err != nil && !errors.As(err, &refusal) && !errors.Is(err, platform.ErrUnavailable)
 }
 
 // pollFailed records a failed poll; any refusal is a response. If the worker may execute the poll
@@ -263,14 +274,14 @@
 }
 
 // concludeExpired concludes the runs of a worker whose lease expired, plus a margin of 5% of
-// WorkerLease, and which has returned no listing for half of WorkerLease. A run stays whose
-// start the next worker instance may still execute, as by its clock the lease is not over.
+// WorkerLease, and which has returned no listing for half of WorkerLease. A run stays as long as
+// an instance that has not been listed may execute its start or hold a lease for it.
 func (n *Node) concludeExpired(now time.Time) {
 	n.mu.Lock()
 	ended, leaseEnd := 0, n.lease.end()
 	if !leaseEnd.IsZero() && now.After(leaseEnd.Add(n.cfg.Timing.WorkerLease/20)) && now.Sub(n.listedAt) > n.cfg.Timing.WorkerLease/2 {
 		for _, r := range n.runs {
-			if r.startInFlight || !r.noResponseAt.IsZero() && now.Sub(r.noResponseAt) < lateStartWindow {
+			if r.startInFlight || n.mayBeUnlisted(r) && n.lease.mayLastUnlisted(now) {
 				continue
 			}
 			n.conclude(now, r, "lease expired", "the worker did not answer until its lease was over")
@@ -283,3 +294,10 @@
 		n.leader.triggerReport()
 	}
 }
+
+// mayBeUnlisted reports whether an instance that has not been listed may have the run: a copy of
+// its start had no response and could still be executed after the latest listing. The caller holds
+// mu.
+func (n *Node) mayBeUnlisted(r *run) bool {
+	return !r.noResponseAt.IsZero() && n.listedAt.Before(r.noResponseAt.Add(lateCallWindow))
+}
