process/runs: keep a run that is not listed while its start is in flight

Callers could see two runs of one task (TWICE): a worker that restarts under its ID lists no run of its previous instance, but may execute a start that is still on its way.

Cause: the agent took a confirmed run that a listing lacks as ended with the previous instance. A copy of its start that was in flight has the token of the poll, so the next instance executes it. Change: such a run stays until its start has returned; a later listing, whose poll has a higher token, shows whether it exists.

TestRunWithAStartInFlightIsNotTakenAsNotListed failed before with "concluded while a copy of its start is on the way". go test ./process/runs passes.

--- a/process/runs/unlisted_instance_test.go
+++ b/process/runs/unlisted_instance_test.go
@@ -125,3 +125,27 @@
 func (refusingWorker) Start(context.Context, platform.RunRequest) (clockMs int64, err error) {
 	return 1, &platform.RefusalError{Reason: platform.RefusedCapacity}
 }
+
+// Guards against a run that is reported as ended with the previous worker instance while its
+// start is on the way to the next one, which is listed before it executes the start.
+func TestRunWithAStartInFlightIsNotTakenAsNotListed(t *testing.T) {
+	r := newOldWorkerRig(t)
+	k := runKey("j", 1)
+	r.worker.setOutcome(outcomeOf(map[string]callOutcome{"start": responseLost}))
+	r.orderStarts(r.node, k)
+	r.eventually("the first copy is executed", func() bool { return r.worker.has(k) })
+	r.worker.setOutcome(outcomeOf(map[string]callOutcome{"start": held}))
+	<-r.worker.heldCalls
+	r.poll(r.node)
+	require.True(t, r.node.isConfirmed(k))
+	r.clock.Advance(time.Millisecond)
+	r.worker.restart()
+	r.announce(r.node, testCapacity, 1)
+	r.poll(r.node)
+	require.True(t, r.node.hasRun(k), "concluded while a copy of its start is on the way")
+	r.worker.releaseCalls()
+	r.eventually("the run is resolved", func() bool {
+		r.poll(r.node)
+		return r.node.isConfirmed(k) == r.worker.has(k) && r.node.hasRun(k) == r.worker.has(k)
+	})
+}
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -180,9 +180,10 @@
 		n.lease.lapsedAt = time.Time{}
 	}
 	for key, r := range n.runs {
-		if !list.MoreEnded && !listed[key] && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
+		if !list.MoreEnded && !listed[key] && !r.startInFlight && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
 			// A run that was confirmed before the poll and is neither running nor
-			// among the ends has ended with an earlier worker instance.
+			// among the ends has ended with an earlier worker instance. This one may
+			// still execute a copy of its start that is in flight.
 			n.conclude(now, r, "not listed", "")
 		}
 	}
