process/runs: suspend leases when another worker instance announces itself

Cause: after a silent restart of its worker an agent polls the previous instance for up to 1.2 s, and meanwhile sends starts which the next instance executes under the longest lease that it grants. Change: the first announcement of an instance that is not the listed one ends the poll, and no call requests a lease until the next listing. A delayed announcement of an earlier instance costs one poll without a lease.

TestAnnouncementOfAnotherInstanceSuspendsLeases failed before: the start was executed. go test ./process/runs passes.

--- a/process/runs/announcements.go
+++ b/process/runs/announcements.go
@@ -63,10 +63,14 @@
 // kept until it does.
 func (n *Node) Announce(w message.WorkerInfo, sequence uint64) {
 	n.mu.Lock()
+	_, known := n.announcements.of(w.StartedMs)
 	if !n.announcements.add(w, sequence) {
 		n.mu.Unlock()
 		return
 	}
+	if !known && !n.listedAt.IsZero() && w.StartedMs != n.instanceStartMs {
+		n.suspectRestart()
+	}
 	changed := !n.listedAt.IsZero() && w.StartedMs == n.instanceStartMs && n.putInForce(w)
 	n.mu.Unlock()
 	if changed {
--- a/process/runs/unlisted_instance_test.go
+++ b/process/runs/unlisted_instance_test.go
@@ -149,3 +149,24 @@
 		return r.node.isConfirmed(k) == r.worker.has(k) && r.node.hasRun(k) == r.worker.has(k)
 	})
 }
+
+// Guards against starts by the clock of a worker instance that is gone: an announcement of the
+// next one ends the poll that still waits for the previous one, and until a listing no start is
+// sent.
+func TestAnnouncementOfAnotherInstanceSuspendsLeases(t *testing.T) {
+	r := newOldWorkerRig(t)
+	ended := false
+	r.node.setPollCancel(func() { ended = true })
+	r.worker.restart()
+	r.announce(r.node, testCapacity, 1)
+	require.True(t, ended, "the poll waits for the previous instance")
+	early := runKey("early", 1)
+	r.orderStarts(r.node, early)
+	r.eventually("the start is refused", func() bool { return !r.node.hasRun(early) })
+	require.Zero(t, r.worker.count())
+	r.poll(r.node)
+	r.requireLeaseWithinGrant("restarted worker")
+	ended = false
+	r.announce(r.node, testCapacity, 2)
+	require.False(t, ended, "an announcement of the listed instance ends the poll")
+}
