process/runs: void no ends while the worker holds a longer lease

Callers could see a task run again after a run of it had ended as done (TWICE): the end was reported as void, since the lease was over that the agent had requested. A worker that has restarted under its ID may hold the longest lease that it grants, by a call that was made for its previous instance; its run had not expired.

Change: an end is void only once the longer of the two is over.

TestEndUnderALeaseBeyondTheGrantIsValid failed before with "the lease has not expired". go test ./process/runs passes.

--- a/process/runs/foreign_lease_test.go
+++ b/process/runs/foreign_lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -67,3 +68,22 @@
 	require.Equal(t, []platform.EndedTask(nil), append([]platform.EndedTask(nil), r.worker.ended...))
 }
 
+// Guards against a task that is started again although its run is done: the end was reported as
+// void when the requested lease was over, but the worker held the longest lease that it grants,
+// since it had restarted and executed a start that was made for its previous instance.
+func TestEndUnderALeaseBeyondTheGrantIsValid(t *testing.T) {
+	r := newOldWorkerRig(t)
+	k := runKey("j", 1)
+	r.executedAtTheNextInstance(k)
+	r.announce(r.node, testCapacity, 1)
+	for grantEnd := r.node.grantEnd; !r.clock.Now().After(grantEnd.Add(testReportInterval)); r.clock.Advance(200 * time.Millisecond) {
+		r.poll(r.node) // the leader grants nothing any more
+	}
+	require.True(t, r.worker.has(k), "the lease has expired")
+	r.worker.finish(k, job.EndDone)
+	r.poll(r.node)
+	ends := fullReport(r.node).Ends
+	require.Len(t, ends, 1)
+	require.Equal(t, job.EndDone, ends[0].How)
+	require.False(t, ends[0].Void, "the lease has not expired")
+}
--- a/process/runs/lease.go
+++ b/process/runs/lease.go
@@ -41,18 +41,18 @@
 
 func newWorkerLease() workerLease { return workerLease{inFlight: map[*leaseRequest]struct{}{}} }
 
-// request records a call that is about to be sent, and reports whether the lease has expired.
+// request records a call that is about to be sent, and reports whether the lease that was requested
+// before has expired. Another one that the worker may hold can last longer.
 func (l *workerLease) request(now, end time.Time, clock workerClock) (q *leaseRequest, expired bool) {
 	previous := l.requested()
-	if expired = !previous.IsZero() && now.After(previous); expired {
-		l.lapsedAt = now
-	}
+	expired = !previous.IsZero() && now.After(previous)
+	l.checkExpiry(now)
 	q = &leaseRequest{end: end, sentAt: now, clock: clock}
 	l.inFlight[q] = struct{}{}
 	return q, expired
 }
 
-// checkExpiry notes at a listing that the lease has expired and no call has renewed it.
+// checkExpiry notes at a call or a listing that the lease has expired.
 func (l *workerLease) checkExpiry(now time.Time) {
 	if end := l.end(); !end.IsZero() && now.After(end) {
 		l.lapsedAt = now
