process/schedule: wait for the longest lease of a restarted worker

Callers saw two runs of one task (TWICE) around workers that restart under their ID. Such a worker executes calls that were made for the instance before, whose clock was ahead, and then holds the longest lease that it grants (hold_max_ms, 6 s). The leader took the runs of an agent that went silent after such a restart as ended with its grant, 4.2 s after the last report, and started them elsewhere while they went on.

The leader now keeps the time by which such leases have ended, for each worker instance that it had not known: also after the first report of an agent. Sessions expire, and the list of a closed table ends, no sooner. Entries take the longest lease from lease.worker_max_ms, as agents do.

Three tests expected the end of the grant for agents that had joined just before. TestSessionExpiryWaitsForLease, TestClosedTableGrantsAndOrdersNothing and TestAgentUpdatesReportChangesAndRemovals now let the agents report for the longest lease first and then expect the same times as before.

--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -36,7 +36,7 @@
 	return lead.New(lead.Config{
 		Self: e.info, Clock: e.clock, Log: e.log, Store: e.store, Advisor: e.deps.Advisor, Net: e.net, Pool: e.pool, Metrics: e.metrics,
 		Timing: lead.Timing{
-			Lease: l.Task(), ReportInterval: l.Heartbeat(), LeaderTimeout: l.Leader(), Outage: l.Outage(),
+			Lease: l.Task(), MaxWorkerLease: l.WorkerMax(), ReportInterval: l.Heartbeat(), LeaderTimeout: l.Leader(), Outage: l.Outage(),
 			Retention: e.cfg.Records.Retention(), NeverFitsDelay: neverFitsDelay, CheckpointInterval: e.cfg.Records.Checkpoint(),
 			MaxOver:        e.cfg.Interference.MaxOver(),
 			CommitInterval: e.cfg.Records.Commit(), CallTimeout: e.cfg.Limits.CallTimeout(),
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -115,6 +115,7 @@
 	l := &leaderTerm{node: n, number: view.Term}
 	l.table = schedule.New(schedule.Config{
 		Clock: n.cfg.Clock, Log: n.cfg.Log, Meter: n.cfg.Metrics, Term: view.Term, Lease: n.cfg.Timing.Lease,
+		MaxWorkerLease: n.cfg.Timing.MaxWorkerLease,
 		ReportInterval: n.cfg.Timing.ReportInterval, Retention: n.cfg.Timing.Retention, NeverFitsDelay: n.cfg.Timing.NeverFitsDelay,
 		Guard:              interference.Guard{MaxOver: n.cfg.Timing.MaxOver},
 		CheckpointInterval: n.cfg.Timing.CheckpointInterval, Profile: n.cfg.Profile, Teams: n.cfg.Teams, AdmitLink: n.cfg.AdmitLink,
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -32,6 +32,7 @@
 // Timing holds the durations of a Node.
 type Timing struct {
 	Lease          time.Duration // how long an agent may keep its runs alive after it sent a report
+	MaxWorkerLease time.Duration // longest lease that a worker grants
 	ReportInterval time.Duration // longest time between two reports of an agent
 	LeaderTimeout  time.Duration // time without a heartbeat after which a leader is replaced
 	Outage         time.Duration // how long a leader grants leases after the start of its last confirmed transaction
--- a/process/schedule/agent_leases.go
+++ b/process/schedule/agent_leases.go
@@ -128,7 +128,7 @@
 		}
 		lease := AgentLease{Agent: id}
 		if t.closed {
-			lease.EndsInMs = remainingMs(now, t.safeLeaseEnd(a.reportedAt))
+			lease.EndsInMs = remainingMs(now, t.safeLeaseEnd(a))
 		}
 		list.Agents = append(list.Agents, lease)
 	}
--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -15,26 +15,29 @@
 
 // agentState is an attached agent with its worker.
 type agentState struct {
-	id             string
-	address        string
-	location       message.Location
-	session        uint64
-	sequence       uint64    // of the latest applied report of the session
-	reportedAt     time.Time // when that report was applied
-	worker         message.WorkerInfo
-	workerKnownAt  time.Time // when this instance of the worker was first reported
-	node           placement.Node
-	runs           map[job.RunKey]*runState // runs that may be alive at the worker
-	ends           []pendingEnd             // in the order of their serials
-	durableSerial  uint64                   // serial up to which all ends are durable
-	sentSerial     uint64                   // durableSerial as last sent to the agent
-	pendingStarts  []*runState
-	pendingStops   []job.RunKey
-	pendingAdopted []*runState // runs whose description has not been sent
-	pausedUntil    time.Time   // before it nothing is placed here, after a refusal
-	health         health
-	summary        message.Summary // as last reported; Agent is empty before the first one
-	tailSamples    map[job.RunKey]tailSample
+	id            string
+	address       string
+	location      message.Location
+	session       uint64
+	sequence      uint64    // of the latest applied report of the session
+	reportedAt    time.Time // when that report was applied
+	worker        message.WorkerInfo
+	workerKnownAt time.Time // when this instance of the worker was first reported
+	// foreignLeaseEnd is the time by which leases of this instance of the worker are known to have
+	// ended that were not given to it under the leader's grant, but in calls to an earlier instance.
+	foreignLeaseEnd time.Time
+	node            placement.Node
+	runs            map[job.RunKey]*runState // runs that may be alive at the worker
+	ends            []pendingEnd             // in the order of their serials
+	durableSerial   uint64                   // serial up to which all ends are durable
+	sentSerial      uint64                   // durableSerial as last sent to the agent
+	pendingStarts   []*runState
+	pendingStops    []job.RunKey
+	pendingAdopted  []*runState // runs whose description has not been sent
+	pausedUntil     time.Time   // before it nothing is placed here, after a refusal
+	health          health
+	summary         message.Summary // as last reported; Agent is empty before the first one
+	tailSamples     map[job.RunKey]tailSample
 	// fillLoad is nil after a change of what it depends on; fillVersion counts its values.
 	fillLoad    *fillLoad
 	fillVersion uint64
@@ -178,6 +181,7 @@
 func (t *Table) updateWorker(now time.Time, a *agentState, w *message.WorkerInfo) {
 	if w.StartedMs != a.worker.StartedMs || a.workerKnownAt.IsZero() {
 		a.workerKnownAt = now
+		a.foreignLeaseEnd = SafeLeaseEnd(now.Add(t.cfg.MaxWorkerLease), t.cfg.MaxWorkerLease)
 		t.setHealth(a, health{})
 	}
 	a.worker = *w
--- a/process/schedule/requests_test.go
+++ b/process/schedule/requests_test.go
@@ -407,6 +407,9 @@
 	changed, _ = b.table.AgentUpdates()
 	require.Len(t, changed, 1)
 	require.True(t, changed[0].Draining)
+	for range testMaxWorkerLease / testReportInterval { // the worker of b has not restarted
+		b.advance(testReportInterval, "a", "b")
+	}
 	for range 12 {
 		b.advance(testReportInterval, "a")
 	}
--- a/process/schedule/restored_ends_test.go
+++ b/process/schedule/restored_ends_test.go
@@ -266,7 +266,7 @@
 
 	for _, b := range []*testbench{restored, same} {
 		require.Empty(t, b.starts())
-		b.clock.Advance(testLease + testLease/10)
+		b.clock.Advance(testMaxWorkerLease + testMaxWorkerLease/10) // its worker may have restarted
 		b.report("b", message.Report{})
 		b.tick() // the session expires
 		b.tick()
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -51,6 +51,9 @@
 	Term  uint64
 	// Lease is how long an agent may keep its runs alive after it sent a report.
 	Lease time.Duration
+	// MaxWorkerLease is the longest lease that a worker grants. A call that was made for an earlier
+	// instance of the worker may have such a lease at a later one, whose clock begins anew.
+	MaxWorkerLease time.Duration
 	// ReportInterval is the longest time between two reports of an agent.
 	ReportInterval time.Duration
 	// Retention is how long an ended job is kept.
@@ -163,8 +166,17 @@
 	return end.Add(time.Duration(leaseSlack * float64(lease)))
 }
 
-// safeLeaseEnd returns the time by which all runs of an agent are known to have ended
-// unless it reports again after the given time.
-func (t *Table) safeLeaseEnd(reported time.Time) time.Time {
-	return SafeLeaseEnd(reported.Add(t.cfg.Lease), t.cfg.Lease)
+// safeLeaseEnd returns the time by which all runs of an agent that its worker has executed are
+// known to have ended unless the agent reports again.
+func (t *Table) safeLeaseEnd(a *agentState) time.Time {
+	if end := t.safeGrantEnd(a); end.After(a.foreignLeaseEnd) {
+		return end
+	}
+	return a.foreignLeaseEnd
+}
+
+// safeGrantEnd returns the time by which the leases that an agent has given its worker under the
+// grant of its last report are known to have ended.
+func (t *Table) safeGrantEnd(a *agentState) time.Time {
+	return SafeLeaseEnd(a.reportedAt.Add(t.cfg.Lease), t.cfg.Lease)
 }
--- a/process/schedule/testbench_test.go
+++ b/process/schedule/testbench_test.go
@@ -19,6 +19,7 @@
 // Settings of the table and names of the service and the profiles in tests.
 const (
 	testLease              = 4 * time.Second
+	testMaxWorkerLease     = 6 * time.Second
 	testReportInterval     = 500 * time.Millisecond
 	testNeverFitsDelay     = 30 * time.Second
 	testCheckpointInterval = 20 * time.Second
@@ -55,7 +56,7 @@
 
 func newTable(clock clockwork.Clock, term uint64) *Table {
 	return New(Config{
-		Clock: clock, Term: term, Lease: testLease, ReportInterval: testReportInterval, Retention: time.Minute,
+		Clock: clock, Term: term, Lease: testLease, MaxWorkerLease: testMaxWorkerLease, ReportInterval: testReportInterval, Retention: time.Minute,
 		NeverFitsDelay: testNeverFitsDelay, CheckpointInterval: testCheckpointInterval, Profile: testProfile,
 		Guard: interference.Guard{MaxOver: 4 * time.Second},
 	})
@@ -225,11 +226,9 @@
 // Guards against a task that is started elsewhere while an unreachable agent may still run it.
 func TestSessionExpiryWaitsForLease(t *testing.T) {
 	b := newTestbench(t, 1)
-	b.join("a")
-	b.join("b")
-	b.accept(definition("j", checkProfile, 1))
-	k, agent := onlyEntry(t, b.starts())
-	other := map[string]string{"a": "b", "b": "a"}[agent]
+	k, agent, other := b.startOne()
+	b.clock.Advance(testMaxWorkerLease) // their workers have not restarted
+	b.confirm(agent, k)
 	until := b.now().Add(testLease)
 	for b.now().Before(until) {
 		b.clock.Advance(testReportInterval)
--- a/process/schedule/tick.go
+++ b/process/schedule/tick.go
@@ -12,7 +12,7 @@
 	defer t.mu.Unlock()
 	t.awaitsTermConfirmation = false
 	for _, a := range t.agents {
-		if end := t.safeLeaseEnd(a.reportedAt); now.After(end) {
+		if end := t.safeLeaseEnd(a); now.After(end) {
 			if t.termConfirmedAt.Before(end) {
 				t.awaitsTermConfirmation = true
 				continue
