process/lead: tell the next leader about leases of restarted workers

Callers saw two runs of one task (TWICE) around workers that restart under their ID. A new leader waits for a missing agent until the grants of earlier leaders are over, and took its runs as ended then. A worker that restarted while its agent reported to an earlier leader may hold the longest lease (lease.worker_max_ms) from then on, by a call to the instance before.

The list of agents in the store now names the agents whose worker instance its leader has known for less than the longest lease, with the rest of that time, and is written at once when one is reported. The next leader waits for these that long.

--- a/process/lead/earlier_leases.go
+++ b/process/lead/earlier_leases.go
@@ -12,8 +12,11 @@
 // Without the list, each leader of an earlier term may grant leases until Timing.Outage after the
 // claim of the leader's own term. The list of an open table excludes that for the terms before it,
 // that of a closed one for its own term too, and a withheld lease for the terms after it as well.
+// A worker may have restarted under any of these leaders, and hold the longest lease from then on;
+// the list names those of which its leader knew.
 func earlierLeases(now time.Time, list *schedule.AgentLeases, previous uint64, t *Timing) map[string]schedule.EarlierLease {
-	longest := schedule.SafeLeaseEnd(now.Add(t.Outage+t.Lease), t.Lease)
+	longestLease := max(t.Lease, t.MaxWorkerLease)
+	longest := schedule.SafeLeaseEnd(now.Add(t.Outage+longestLease), longestLease)
 	leases := make(map[string]schedule.EarlierLease, len(list.Agents))
 	for _, a := range list.Agents {
 		recorded := longest // without a time, which no leader writes here, or beyond the longest one
@@ -31,7 +34,19 @@
 		case list.Closed && list.Term+1 == previous:
 			lease.Earliest = recorded // as above
 		}
+		if a.ForeignEndsInMs > 0 {
+			ms := min(a.ForeignEndsInMs, longest.Sub(now).Milliseconds())
+			foreign := now.Add(time.Duration(ms) * time.Millisecond)
+			lease.End, lease.Earliest = latest(lease.End, foreign), latest(lease.Earliest, foreign)
+		}
 		leases[a.Agent] = lease
 	}
 	return leases
 }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/process/lead/load.go
+++ b/process/lead/load.go
@@ -79,7 +79,8 @@
 }
 
 // shortenLeases shortens the wait for agents of earlier terms, as the leader of the previous term
-// grants no leases any more: its leases end at most Timing.Lease from now.
+// grants no leases any more: its leases end at most Timing.Lease from now. Those of workers that
+// had restarted, which the list in the store names, may end later.
 func (l *leaderTerm) shortenLeases(reason string) {
 	now := l.node.cfg.Clock.Now()
 	until := schedule.SafeLeaseEnd(now.Add(l.node.cfg.Timing.Lease), l.node.cfg.Timing.Lease)
--- a/process/schedule/agent_leases.go
+++ b/process/schedule/agent_leases.go
@@ -23,15 +23,23 @@
 	// been granted until then are known to have ended. It is 0 for an agent that has reported to
 	// the leader of an open list: no earlier leader's grant counts any more.
 	EndsInMs int64 `msgpack:"e,omitempty"`
+	// ForeignEndsInMs is as EndsInMs, for the leases of the agent's worker that were not given to it
+	// under a leader's grant, but in calls to an earlier instance. It is 0 if a lease that the leader
+	// of the list grants now ends later.
+	ForeignEndsInMs int64 `msgpack:"f,omitempty"`
+	// WorkerStartedMs identifies the instance of the worker that ForeignEndsInMs is about.
+	WorkerStartedMs int64 `msgpack:"s,omitempty"`
 	// Withheld: the agent is missing, and neither the leader that made the list nor a later one
 	// grants it a lease before the store contains a list of its own term without this mark.
 	Withheld bool `msgpack:"w,omitempty"`
 }
 
-// sameExceptTimes reports whether two lists differ in EndsInMs at most.
-func (l *AgentLeases) sameExceptTimes(o *AgentLeases) bool {
-	return l.Term == o.Term && l.Closed == o.Closed && slices.EqualFunc(l.Agents, o.Agents, func(a, b AgentLease) bool {
-		return a.Agent == b.Agent && a.Withheld == b.Withheld
+// sameExceptTimes reports whether a list differs from the stored one in times at most, and in foreign
+// leases that have ended since then.
+func (l *AgentLeases) sameExceptTimes(stored *AgentLeases) bool {
+	return l.Term == stored.Term && l.Closed == stored.Closed && slices.EqualFunc(l.Agents, stored.Agents, func(a, b AgentLease) bool {
+		sameForeign := a.ForeignEndsInMs == 0 || b.ForeignEndsInMs != 0 && a.WorkerStartedMs == b.WorkerStartedMs
+		return a.Agent == b.Agent && a.Withheld == b.Withheld && sameForeign
 	})
 }
 
@@ -129,6 +137,8 @@
 		lease := AgentLease{Agent: id}
 		if t.closed {
 			lease.EndsInMs = remainingMs(now, t.safeLeaseEnd(a))
+		} else if a.foreignLeaseEnd.After(t.safeGrantEnd(a)) {
+			lease.ForeignEndsInMs, lease.WorkerStartedMs = remainingMs(now, a.foreignLeaseEnd), a.worker.StartedMs
 		}
 		list.Agents = append(list.Agents, lease)
 	}
--- a/process/schedule/restarted_worker_test.go
+++ b/process/schedule/restarted_worker_test.go
@@ -10,6 +10,10 @@
 	"camphorhead.example/camphorhead/request/job"
 )
 
+// foreignLease is how long a worker instance that has just been reported may hold a lease by a call to
+// an earlier one.
+const foreignLease = testMaxWorkerLease + testMaxWorkerLease*4/100
+
 // confirm reports the runs of an agent as confirmed.
 func (b *testbench) confirm(agent string, keys ...job.RunKey) {
 	b.t.Helper()
@@ -94,3 +98,35 @@
 	list := b.take()
 	require.GreaterOrEqual(t, list.Agents[0].EndsInMs, testMaxWorkerLease.Milliseconds())
 }
+
+// Guards against two runs of a task (TWICE): the list does not tell the next leader that a worker has
+// restarted, or only with a later change. Guards against a write of the list for each worker whose
+// lease has ended since, and against a time that stays in the store for good.
+func TestListNamesTheLeasesOfRestartedWorkers(t *testing.T) {
+	b := newTestbench(t, 1)
+	b.join("a")
+	b.clock.Advance(testMaxWorkerLease)
+	b.report("a", message.Report{})
+	b.register()
+	require.Equal(t, []AgentLease{{Agent: "a"}}, b.table.storedLeases.Agents)
+
+	restarted := workerInfo("a")
+	restarted.StartedMs = 2
+	b.report("a", message.Report{Worker: restarted})
+	require.True(t, b.table.AgentLeasesChanged(b.now(), true))
+	list := b.take()
+	require.Equal(t, []AgentLease{{Agent: "a", ForeignEndsInMs: foreignLease.Milliseconds(), WorkerStartedMs: 2}}, list.Agents)
+	b.table.SetRegistered(list)
+
+	b.clock.Advance(testReportInterval)
+	again := workerInfo("a")
+	again.StartedMs = 3
+	b.report("a", message.Report{Worker: again})
+	require.True(t, b.table.AgentLeasesChanged(b.now(), true), "its lease ends later than that of the instance in the list")
+	b.table.SetRegistered(b.take())
+
+	b.clock.Advance(testLease)
+	b.report("a", message.Report{})
+	require.False(t, b.table.AgentLeasesChanged(b.now(), true))
+	require.Equal(t, []AgentLease{{Agent: "a"}}, b.take().Agents)
+}
