process/schedule: hold tasks whose start an agent never confirmed

Callers saw two runs of one task (TWICE) around workers that restart under their ID. A start without a response may be executed up to 13 s later, also by an instance of the worker of which nobody has heard, and then holds the longest lease. When an agent went silent before it had reported a start as confirmed, the leader took the run as ended with the agent's lease and placed the task elsewhere.

Such a task is now held: until the window for late calls (now platform.LateCallWindow) and the longest lease of a worker after the agent's lease have passed and the term was confirmed after that, or until the agent's next full report. That names each run that exists or may still begin, so the run is adopted, or its end counts, or the task is placed again. The task stays active without a run, which no other path requeues, and leaves the hold when its job ends. Starts that were never sent and speculative tasks are placed again as before; the leader therefore notes orders that it couldn't send. task_idle calls the state "unresolved".

TestSessionExpiryWaitsForConfirmedTerm expected a start that had not been confirmed to be placed again with the end of the session. It now confirms the run first and expects the same.

--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -115,7 +115,7 @@
 	l := &leaderTerm{node: n, number: view.Term}
 	l.table = schedule.New(schedule.Config{
 		Clock: n.cfg.Clock, Log: n.cfg.Log, Meter: n.cfg.Metrics, Term: view.Term, Lease: n.cfg.Timing.Lease,
-		MaxWorkerLease: n.cfg.Timing.MaxWorkerLease,
+		MaxWorkerLease: n.cfg.Timing.MaxWorkerLease, LateCallWindow: platform.LateCallWindow,
 		ReportInterval: n.cfg.Timing.ReportInterval, Retention: n.cfg.Timing.Retention, NeverFitsDelay: n.cfg.Timing.NeverFitsDelay,
 		Guard:              interference.Guard{MaxOver: n.cfg.Timing.MaxOver},
 		CheckpointInterval: n.cfg.Timing.CheckpointInterval, Profile: n.cfg.Profile, Teams: n.cfg.Teams, AdmitLink: n.cfg.AdmitLink,
@@ -256,6 +256,7 @@
 		if err := session.conn.Notify(message.KindOrders, &o.Orders); err != nil {
 			l.node.cfg.Log.Emit(event.OrdersNotSent, "agent", o.Agent, "session", o.Orders.Session,
 				"tasks", len(o.Orders.Starts), "error", err)
+			l.table.MarkUnsent(&o)
 			session.conn.Close()
 		}
 	}
--- a/process/lead/sessions_test.go
+++ b/process/lead/sessions_test.go
@@ -157,6 +157,24 @@
 	require.Eventually(t, agent.conn.Closed, 10*time.Second, time.Millisecond)
 }
 
+// Guards against tasks that wait for the late execution of starts that were never sent, because the
+// agent's process has ended and with it the connection.
+func TestStartsNotSentAreNotWaitedFor(t *testing.T) {
+	l := newSchedulingLeader(t)
+	agent := connectAgent(t, l.node)
+	require.NotZero(t, agent.report(t, 1, 1, true).LeaseMs)
+	require.True(t, l.table.Accept(l.node.cfg.Clock.Now(), testJob("j"), l.number, false))
+	l.mu.Lock()
+	l.mu.sessions[testAgent].conn.Close()
+	l.mu.Unlock()
+	l.dispatch()
+	require.Equal(t, 1, l.table.Load().Runs)
+	later := l.node.cfg.Clock.Now().Add(testTiming.Lease + testTiming.Lease/10)
+	l.table.ConfirmTerm(later, schedule.ConfirmedByStore)
+	l.table.Tick(later)
+	require.Equal(t, 1, l.table.Load().Ready)
+}
+
 // Guards against a leader that ends because of one notice: the definition in it comes from another
 // process and has not passed the checks of an accepted job.
 func TestMalformedNoticeOfAJobIsIgnored(t *testing.T) {
--- a/process/metrics/catalogue.go
+++ b/process/metrics/catalogue.go
@@ -136,7 +136,7 @@
 	StepsReady:           {"steps_ready", Gauge, "", "", "Steps with tasks that wait for a worker."},
 	Runs:                 {"runs", Gauge, "", "", "Runs in the leader's table."},
 	AgentsUnconfirmed:    {"agents_unproven", Gauge, "", "", "Agents of earlier terms that have not reported yet."},
-	TasksIdle:            {"long_running_tasks_idle", Gauge, "", "state", "Long-running tasks without a confirmed run, by state: held, waiting, unconfirmed, orphaned."},
+	TasksIdle:            {"long_running_tasks_idle", Gauge, "", "state", "Long-running tasks without a confirmed run, by state: held, waiting, unconfirmed, orphaned, unresolved."},
 	CheckTime:            {"check_time", Histogram, "seconds", "profile", "Duration of checks at this entry, by profile."},
 	Refusals:             {"refusals", Counter, "", "kind", "Requests that were refused, by kind of error."},
 	Attempts:             {"attempts", Counter, "", "kind", "Attempts of checks by kind: first, retry, hedge, and wasted (its response was not used)."},
--- a/process/platform/worker.go
+++ b/process/platform/worker.go
@@ -108,6 +108,9 @@
 	return "platform: worker refused the call: " + string(e.Reason)
 }
 
+// LateCallWindow is how long after a call was sent a worker may execute it, if there was no response.
+const LateCallWindow = 13 * time.Second
+
 // Worker is the interface to the worker beside an agent; only that agent uses it. After
 // an error other than RefusalError and ErrUnavailable, the call may have taken effect,
 // or may take effect seconds later.
--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -100,6 +100,7 @@
 	}
 	if r.Full && !r.MoreEnds {
 		t.reconcile(now, a, listed)
+		t.resolveStarts(now, a.id)
 		delete(t.unconfirmedAgents, a.id)
 		t.requeueRestored(now)
 	}
@@ -237,7 +238,8 @@
 }
 
 // expireSession removes an agent whose lease is known to have expired, and its runs, which
-// have therefore ended. Their tasks are requeued.
+// have therefore ended, except those that may still begin. Their tasks are requeued; for those
+// exceptions, see unresolvedStart.
 func (t *Table) expireSession(now time.Time, a *agentState) {
 	unconfirmed := 0
 	for _, run := range a.runs {
@@ -249,8 +251,14 @@
 		"age_ms", now.Sub(a.reportedAt).Milliseconds(), "worker_age_ms", now.Sub(a.workerKnownAt).Milliseconds(),
 		"source", string(t.termConfirmedBy))
 	t.cfg.Meter.Add(metrics.LeasesExpired, 1)
+	grantEnd := t.safeGrantEnd(a)
 	for _, run := range a.runs {
 		t.measureEnd(now, run, job.EndLeaseExpired)
+		if run.mayBeginLate() {
+			t.release(run)
+			t.holdUnresolved(run.task, a.id, run.number, grantEnd)
+			continue
+		}
 		t.recordExpiry(run.task, run.number)
 		t.release(run)
 		if !run.orphaned {
--- a/process/schedule/ends.go
+++ b/process/schedule/ends.go
@@ -221,7 +221,7 @@
 	if limit > 0 && task.restored && len(t.unconfirmedAgents) > 0 {
 		// Agents of earlier terms that have not reported yet may report failures
 		// that use up the attempts; requeueRestored requeues the task once they have.
-		if task.phase == taskActive && task.run == nil {
+		if task.phase == taskActive && task.run == nil && task.unresolved == nil {
 			task.phase, task.endedAt = taskUnknown, now
 		}
 		return
--- a/process/schedule/idle.go
+++ b/process/schedule/idle.go
@@ -28,11 +28,12 @@
 	IdleWaiting                      // waits for a worker
 	IdleUnconfirmed                  // a run is ordered or adopted, and its worker has not confirmed it
 	IdleOrphaned                     // earlier runs that must end have not ended yet
+	IdleUnresolved                   // a silent agent had a run that was never confirmed and may begin late
 	idleStates
 )
 
 func (s IdleState) String() string {
-	return [...]string{"held", "waiting", "unconfirmed", "orphaned"}[s]
+	return [...]string{"held", "waiting", "unconfirmed", "orphaned", "unresolved"}[s]
 }
 
 // IdleCounts holds the number of idle tasks in each state.
@@ -139,6 +140,8 @@
 		return IdleHeld, true
 	case task.phase == taskWaiting:
 		return IdleWaiting, true
+	case task.phase == taskActive && task.run == nil && task.unresolved != nil:
+		return IdleUnresolved, true
 	case task.phase == taskActive && task.run == nil:
 		return IdleOrphaned, true
 	case task.phase == taskActive && task.run.confirmedAt.IsZero():
@@ -159,6 +162,8 @@
 		a := task.run.agent
 		fields = append(fields, "agent", a.id, "agents", 1, "run", task.run.number,
 			"reachable", a.worker.Reachable, "age_ms", now.Sub(a.reportedAt).Milliseconds())
+	case IdleUnresolved:
+		fields = append(fields, "agent", task.unresolved.agent, "agents", 1, "run", task.unresolved.run)
 	}
 	t.cfg.Log.Emit(event.TaskIdle, fields...)
 }
--- a/process/schedule/orders.go
+++ b/process/schedule/orders.go
@@ -35,6 +35,22 @@
 	return list
 }
 
+// MarkUnsent records that orders could not be sent, so that the runs in them cannot begin. Their
+// tasks are requeued with the agent's next full report, or at once when its session expires.
+func (t *Table) MarkUnsent(o *AgentOrders) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.agents[o.Agent]
+	if a == nil || a.session != o.Orders.Session {
+		return
+	}
+	for i := range o.Orders.Starts {
+		if run := a.runs[o.Orders.Starts[i].Key]; run != nil {
+			run.unsent = true
+		}
+	}
+}
+
 // waitsSince returns when the first of the unsent starts was ordered; zero if there are none.
 func (a *agentState) waitsSince() time.Time {
 	if len(a.pendingStarts) == 0 {
--- a/process/schedule/restarted_worker_test.go
+++ b/process/schedule/restarted_worker_test.go
@@ -27,12 +27,19 @@
 // startOne joins the agents "a" and "b" and starts a confirmed run, and returns the run, its agent
 // and the other one.
 func (b *testbench) startOne() (k job.RunKey, agent, other string) {
+	b.t.Helper()
+	k, agent, other = b.orderOne(definition("j", checkProfile, 1))
+	b.confirm(agent, k)
+	return k, agent, other
+}
+
+// orderOne is startOne for a given job of one task, whose run is not confirmed.
+func (b *testbench) orderOne(def *job.Definition) (k job.RunKey, agent, other string) {
 	b.t.Helper()
 	b.join("a")
 	b.join("b")
-	b.accept(definition("j", checkProfile, 1))
+	b.accept(def)
 	k, agent = onlyEntry(b.t, b.starts())
-	b.confirm(agent, k)
 	return k, agent, map[string]string{"a": "b", "b": "a"}[agent]
 }
 
--- a/process/schedule/restored_ends_test.go
+++ b/process/schedule/restored_ends_test.go
@@ -265,7 +265,8 @@
 	same := newTestbench(t, 1)
 	same.join("a")
 	same.accept(definition("j", checkProfile, 1))
-	same.starts()
+	k, _ := onlyEntry(t, same.starts())
+	same.confirm("a", k)
 	same.join("b")
 	same.report("a", message.Report{Session: 2, Full: true, MoreEnds: true, Worker: workerInfo("a")})
 
--- a/process/schedule/runs.go
+++ b/process/schedule/runs.go
@@ -161,9 +161,9 @@
 
 // requeue makes an active task without a run wait for a worker again. Other tasks, such as
 // those that are done, stay as they are. A task with orphaned runs stays active until the last
-// of them has been released.
+// of them has been released, one with an unresolved start until that is resolved.
 func (t *Table) requeue(now time.Time, task *taskState) {
-	if task.phase != taskActive || task.run != nil || task.orphans > 0 && !task.step.def.Speculative {
+	if task.phase != taskActive || task.run != nil || task.unresolved != nil || task.orphans > 0 && !task.step.def.Speculative {
 		return
 	}
 	task.phase, task.endedAt = taskWaiting, now
--- a/process/schedule/state.go
+++ b/process/schedule/state.go
@@ -80,9 +80,10 @@
 	lastExpiredRun uint32
 	checkpoint     string // latest known; empty if there is none
 	run            *runState
-	orphans        int       // orphaned runs that may be alive
-	avoidedAgents  []string  // agents whose workers the task avoids, the oldest first
-	endedAt        time.Time // when the latest run ended
+	unresolved     *unresolvedStart // nil: none; the task is in Table.unresolvedTasks otherwise
+	orphans        int              // orphaned runs that may be alive
+	avoidedAgents  []string         // agents whose workers the task avoids, the oldest first
+	endedAt        time.Time        // when the latest run ended
 	// restored is set if the task may have failed in an earlier term at agents that have
 	// not reported in this one.
 	restored          bool
@@ -110,6 +111,7 @@
 	agent        *agentState
 	orderedAt    time.Time         // or adopted; zero if orphaned
 	stopping     bool              // a stop order has been queued
+	unsent       bool              // its start order could not be sent; see MarkUnsent
 	progressPct  int               // as last reported, in percent
 	progressAt   time.Time         // when progressPct last changed
 	checkpointAt time.Time         // when the checkpoint last changed
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -7,7 +7,8 @@
 //
 //   - a task has at most one run that may be alive, unless it is speculative: the next
 //     run is ordered only after the end of the previous one was reported, or after the
-//     lease of its agent is known to have expired;
+//     lease of its agent is known to have expired, and with it the time in which a start
+//     without a response may still be executed;
 //   - an end is reported to callers and acknowledged to its agent only after it is
 //     durable;
 //   - the runs ordered at a worker never exceed its capacity.
@@ -54,6 +55,8 @@
 	// MaxWorkerLease is the longest lease that a worker grants. A call that was made for an earlier
 	// instance of the worker may have such a lease at a later one, whose clock begins anew.
 	MaxWorkerLease time.Duration
+	// LateCallWindow is how long after a call was sent a worker may execute it, if there was no response.
+	LateCallWindow time.Duration
 	// ReportInterval is the longest time between two reports of an agent.
 	ReportInterval time.Duration
 	// Retention is how long an ended job is kept.
@@ -101,6 +104,7 @@
 	unconfirmedExpired bool           // one of them was removed without a report
 	lapsedAgents       int            // those that were removed without a report
 	restoredSteps      []*stepState   // steps with tasks that may have runs at unconfirmedAgents
+	unresolvedTasks    []*taskState   // tasks that are held because of an unresolved start
 	dirtyJobs          []*jobState    // jobs for TakeRecords
 	changedJobs        []*jobState    // jobs for Updates
 	waiting            map[string]int // jobs that have not started, by profile
--- a/process/schedule/testbench_test.go
+++ b/process/schedule/testbench_test.go
@@ -20,6 +20,7 @@
 const (
 	testLease              = 4 * time.Second
 	testMaxWorkerLease     = 6 * time.Second
+	testLateCallWindow     = 13 * time.Second
 	testReportInterval     = 500 * time.Millisecond
 	testNeverFitsDelay     = 30 * time.Second
 	testCheckpointInterval = 20 * time.Second
@@ -56,7 +57,7 @@
 
 func newTable(clock clockwork.Clock, term uint64) *Table {
 	return New(Config{
-		Clock: clock, Term: term, Lease: testLease, MaxWorkerLease: testMaxWorkerLease, ReportInterval: testReportInterval, Retention: time.Minute,
+		Clock: clock, Term: term, Lease: testLease, MaxWorkerLease: testMaxWorkerLease, LateCallWindow: testLateCallWindow, ReportInterval: testReportInterval, Retention: time.Minute,
 		NeverFitsDelay: testNeverFitsDelay, CheckpointInterval: testCheckpointInterval, Profile: testProfile,
 		Guard: interference.Guard{MaxOver: 4 * time.Second},
 	})
@@ -205,11 +206,7 @@
 // has ended.
 func TestSessionExpiryWaitsForConfirmedTerm(t *testing.T) {
 	b := newTestbench(t, 1)
-	b.join("a")
-	b.join("b")
-	b.accept(definition("j", checkProfile, 1))
-	_, agent := onlyEntry(t, b.starts())
-	other := map[string]string{"a": "b", "b": "a"}[agent]
+	_, _, other := b.startOne()
 	confirmed := b.now()
 	b.clock.Advance(3 * testLease)
 	b.report(other, message.Report{})
--- a/process/schedule/tick.go
+++ b/process/schedule/tick.go
@@ -5,7 +5,7 @@
 // passInterval is the longest time between two attempts to place waiting tasks.
 const passInterval = 100 * time.Millisecond
 
-// Tick expires sessions, creates occurrences, requeues restored tasks, verifies starts and
+// Tick expires sessions and unresolved starts, creates occurrences, requeues restored tasks, verifies starts and
 // logs idle tasks, as they are due. The leader calls it every few tens of milliseconds.
 func (t *Table) Tick(now time.Time) {
 	t.mu.Lock()
@@ -20,6 +20,7 @@
 			t.expireSession(now, a)
 		}
 	}
+	t.expireUnresolved(now)
 	for j := range t.futureJobs {
 		t.createDue(now, j)
 	}
--- /dev/null
+++ b/process/schedule/unresolved.go
@@ -0,0 +1,82 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// unresolvedStart is a run whose start its agent has not reported as confirmed before its session
+// expired. The worker may execute the call late, in an instance of which nobody has heard, and then
+// holds the longest lease that it grants. The task has no run meanwhile, and is not placed.
+type unresolvedStart struct {
+	agent string // empty: several agents have had such a run, and only time resolves them
+	run   uint32
+	end   time.Time // by which the run is known to have ended, or not to begin any more
+}
+
+// mayBeginLate reports whether a run may begin after the session of its agent has expired: its start
+// order was sent and has not been confirmed. Runs of speculative tasks may overlap, so they count as ended.
+func (r *runState) mayBeginLate() bool {
+	sent := !r.unsent && !slices.Contains(r.agent.pendingStarts, r)
+	return sent && r.confirmedAt.IsZero() && !r.orphaned && !r.task.step.def.Speculative && r.task.phase == taskActive
+}
+
+// holdUnresolved keeps a task from being placed because of a run of a silent agent, which has been
+// released. grantEnd is when the agent sent the last calls for it.
+func (t *Table) holdUnresolved(task *taskState, agent string, run uint32, grantEnd time.Time) {
+	end := SafeLeaseEnd(grantEnd.Add(t.cfg.LateCallWindow+t.cfg.MaxWorkerLease), t.cfg.MaxWorkerLease)
+	u := task.unresolved
+	if u == nil {
+		task.unresolved = &unresolvedStart{agent: agent, run: run, end: end}
+		t.unresolvedTasks = append(t.unresolvedTasks, task)
+		return
+	}
+	u.run = max(u.run, run)
+	if u.agent != agent {
+		u.agent = ""
+	}
+	if end.After(u.end) {
+		u.end = end
+	}
+}
+
+// resolveStarts ends the hold of the tasks whose unresolved starts were those of an agent, after a
+// full report of it has been applied: the runs that it lists are in the table, and no others will
+// begin.
+func (t *Table) resolveStarts(now time.Time, agent string) {
+	t.releaseUnresolved(now, func(task *taskState) bool { return task.unresolved.agent == agent })
+}
+
+// expireUnresolved ends the hold of the tasks whose unresolved starts are known to have come to
+// nothing, or to have ended. As for sessions, that takes a confirmation of the term.
+func (t *Table) expireUnresolved(now time.Time) {
+	t.releaseUnresolved(now, func(task *taskState) bool {
+		u := task.unresolved
+		if !now.After(u.end) {
+			return false
+		}
+		if t.termConfirmedAt.Before(u.end) {
+			t.awaitsTermConfirmation = true
+			return false
+		}
+		t.recordExpiry(task, u.run)
+		return true
+	})
+}
+
+// releaseUnresolved requeues the held tasks for which over is true. Tasks that have been done or
+// whose job has ended meanwhile are held no longer either.
+func (t *Table) releaseUnresolved(now time.Time, over func(task *taskState) bool) {
+	var released []*taskState
+	t.unresolvedTasks = slices.DeleteFunc(t.unresolvedTasks, func(task *taskState) bool {
+		if task.phase != taskDone && !task.step.job().state.Terminal() && !over(task) {
+			return false
+		}
+		released = append(released, task)
+		return true
+	})
+	for _, task := range released {
+		task.unresolved = nil
+		t.requeue(now, task)
+	}
+}
