process/schedule, process/lead: hold unresolved starts across leaders

Two runs of one task (TWICE) stayed possible when the leader changed while a task was held because its start had not been confirmed, or while its agent was silent with such a start: the agent was no longer in the list in the store, or only for its lease, and the next leader placed the task.

The list in the store now also names these starts, with the time by which their runs are known to have ended: those of expired sessions and of agents that have missed three reports, and all of them once the table is closed. The next leader holds exactly these tasks, until then or until the agent's full report. A list without them decodes as before, and older leaders ignore them.

--- a/process/lead/load.go
+++ b/process/lead/load.go
@@ -41,6 +41,7 @@
 	now := l.node.cfg.Clock.Now()
 	leases := earlierLeases(now, &list, l.number-1, &l.node.cfg.Timing)
 	l.table.Restore(now, unfinished, leases)
+	l.table.RestoreUnresolved(now, list.Unresolved)
 	l.table.RestoreEnded(ended)
 	wait, reason := longestWait(now, leases), "earlier leaders may still grant leases"
 	switch {
--- a/process/lead/restarted_worker_test.go
+++ b/process/lead/restarted_worker_test.go
@@ -8,7 +8,11 @@
 	"github.com/stretchr/testify/require"
 
 	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/process/jobstore"
+	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/process/schedule"
+	"camphorhead.example/camphorhead/request/resources"
+	"camphorhead.example/camphorhead/version/profile"
 )
 
 // longestTestLease is the longest lease of workers that grant longer ones than agents ask for.
@@ -19,6 +23,8 @@
 	t.Helper()
 	n := newProcess(t, id, store, clock)
 	n.cfg.Timing.MaxWorkerLease = longestTestLease
+	n.cfg.Profile = func(string) (profile.Profile, bool) { return profile.Profile{Service: "s", MaxAttempts: 3}, true }
+	n.cfg.Teams = func() map[string]profile.Team { return nil }
 	return n
 }
 
@@ -103,3 +109,42 @@
 		}
 	}
 }
+
+// Guards against two runs of a task (TWICE): an agent goes silent before it has confirmed a start, and
+// the leader changes before the time is over in which the start may be executed late.
+func TestUnresolvedStartIsHeldAcrossLeaders(t *testing.T) {
+	for name, end := range map[string]func(l *leaderTerm, clock *clockwork.FakeClock){
+		"handed over": func(l *leaderTerm, clock *clockwork.FakeClock) { handOver(t, l, clock) },
+		"killed":      func(*leaderTerm, *clockwork.FakeClock) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock, store := clockwork.NewFakeClock(), newMemoryStore(t)
+			_, created, err := jobstore.New(store).Create(t.Context(), testJob("j"), 0)
+			require.NoError(t, err)
+			require.True(t, created)
+			first := claimTerm(t, newProcessWithWorkers(t, "one", store, clock))
+			report := message.Report{Agent: "a", Session: 1, Sequence: 1, Full: true, Worker: &message.WorkerInfo{
+				ID: "a", Service: "s", Reachable: true, Capacity: resources.Resources{MilliCPU: 8000, MemoryMB: 8000},
+			}}
+			require.NotZero(t, first.table.ApplyReport(clock.Now(), &report).LeaseMs)
+			first.write(t.Context()) // and orders the run
+			require.Equal(t, 1, first.table.Load().Runs)
+			silentSince := clock.Now()
+			clock.Advance(4 * testTiming.ReportInterval)
+			first.write(t.Context())
+			end(first, clock)
+
+			next := claimTerm(t, newProcessWithWorkers(t, "one", store, clock))
+			waitForEarlier(t, next, clock)
+			for next.table.Load().Ready == 0 {
+				require.Less(t, clock.Since(silentSince), time.Minute)
+				clock.Advance(100 * time.Millisecond)
+				next.table.ConfirmTerm(clock.Now(), schedule.ConfirmedByStore)
+				next.table.Tick(clock.Now())
+			}
+			hold := testTiming.Lease + platform.LateCallWindow + longestTestLease
+			require.GreaterOrEqual(t, clock.Since(silentSince), hold)
+			require.LessOrEqual(t, clock.Since(silentSince), hold+hold/10)
+		})
+	}
+}
--- a/process/schedule/agent_leases.go
+++ b/process/schedule/agent_leases.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"camphorhead.example/camphorhead/request/job"
 )
 
 // AgentLeases lists the agents that may have runs, or ends that are not durable, for the leader of
@@ -14,6 +16,18 @@
 	// Closed: that leader grants no lease any more.
 	Closed bool         `msgpack:"c,omitempty"`
 	Agents []AgentLease `msgpack:"a"` // by id
+	// Unresolved are the starts by which runs may still begin, although the next leader may take the
+	// leases of their agents as ended before.
+	Unresolved []UnresolvedStart `msgpack:"u,omitempty"` // by task
+}
+
+// UnresolvedStart is a start in AgentLeases that its agent has not reported as confirmed.
+type UnresolvedStart struct {
+	Task  job.TaskID `msgpack:"t"`
+	Run   uint32     `msgpack:"r"`
+	Agent string     `msgpack:"i,omitempty"` // empty: several agents; only time resolves the start
+	// EndsInMs is as in AgentLease, for the run that may begin.
+	EndsInMs int64 `msgpack:"e"`
 }
 
 // AgentLease is an agent in AgentLeases.
@@ -35,8 +49,15 @@
 }
 
 // sameExceptTimes reports whether a list differs from the stored one in times at most, and in foreign
-// leases that have ended since then.
+// leases that have ended and starts that have been resolved since then.
 func (l *AgentLeases) sameExceptTimes(stored *AgentLeases) bool {
+	for _, u := range l.Unresolved {
+		if !slices.ContainsFunc(stored.Unresolved, func(s UnresolvedStart) bool {
+			return s.Task == u.Task && s.Run == u.Run && s.Agent == u.Agent
+		}) {
+			return false
+		}
+	}
 	return l.Term == stored.Term && l.Closed == stored.Closed && slices.EqualFunc(l.Agents, stored.Agents, func(a, b AgentLease) bool {
 		sameForeign := a.ForeignEndsInMs == 0 || b.ForeignEndsInMs != 0 && a.WorkerStartedMs == b.WorkerStartedMs
 		return a.Agent == b.Agent && a.Withheld == b.Withheld && sameForeign
@@ -86,7 +107,8 @@
 	defer t.mu.Unlock()
 	list = t.agentLeases(now, storeServes)
 	if list.sameExceptTimes(&t.storedLeases) {
-		refresh := !slices.Equal(list.Agents, t.storedLeases.Agents) && now.Sub(t.leasesTakenAt) >= leasesRefresh
+		equal := slices.Equal(list.Agents, t.storedLeases.Agents) && slices.Equal(list.Unresolved, t.storedLeases.Unresolved)
+		refresh := !equal && now.Sub(t.leasesTakenAt) >= leasesRefresh
 		if refresh {
 			t.leasesTakenAt = now
 		}
@@ -128,7 +150,7 @@
 // which may have left by then.
 // One whose lease is pending is listed all the same: it reports until it has the lease.
 func (t *Table) agentLeases(now time.Time, storeServes bool) AgentLeases {
-	list := AgentLeases{Term: t.cfg.Term, Closed: t.closed}
+	list := AgentLeases{Term: t.cfg.Term, Closed: t.closed, Unresolved: t.listUnresolved(now)}
 	for id, a := range t.agents {
 		_, unconfirmed := t.unconfirmedAgents[id] // it has not reported all of its ends yet
 		if a.worker.Draining && len(a.runs) == 0 && len(a.ends) == 0 && !unconfirmed && !t.withheld[id] {
--- a/process/schedule/unresolved.go
+++ b/process/schedule/unresolved.go
@@ -1,7 +1,9 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -24,7 +26,16 @@
 // holdUnresolved keeps a task from being placed because of a run of a silent agent, which has been
 // released. grantEnd is when the agent sent the last calls for it.
 func (t *Table) holdUnresolved(task *taskState, agent string, run uint32, grantEnd time.Time) {
-	end := SafeLeaseEnd(grantEnd.Add(t.cfg.LateCallWindow+t.cfg.MaxWorkerLease), t.cfg.MaxWorkerLease)
+	t.holdUntil(task, agent, run, t.lateRunEnd(grantEnd))
+}
+
+// lateRunEnd returns the time by which a run is known to have ended, or not to begin any more, whose
+// start was sent to the worker by grantEnd.
+func (t *Table) lateRunEnd(grantEnd time.Time) time.Time {
+	return SafeLeaseEnd(grantEnd.Add(t.cfg.LateCallWindow+t.cfg.MaxWorkerLease), t.cfg.MaxWorkerLease)
+}
+
+func (t *Table) holdUntil(task *taskState, agent string, run uint32, end time.Time) {
 	u := task.unresolved
 	if u == nil {
 		task.unresolved = &unresolvedStart{agent: agent, run: run, end: end}
@@ -77,6 +88,59 @@
 	})
 	for _, task := range released {
 		task.unresolved = nil
+		if task.restored && len(t.unconfirmedAgents) > 0 && task.phase == taskActive && task.run == nil {
+			task.phase = taskUnknown // requeueRestored requeues it
+			continue
+		}
 		t.requeue(now, task)
 	}
 }
+
+// RestoreUnresolved holds the tasks whose starts were unresolved in an earlier term. It is called after
+// Restore.
+func (t *Table) RestoreUnresolved(now time.Time, starts []UnresolvedStart) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	longest := t.lateRunEnd(now.Add(t.cfg.Lease)).Sub(now).Milliseconds()
+	for _, u := range starts {
+		t.createStarted(now, u.Task)
+		task := t.task(u.Task)
+		if task == nil || task.phase == taskDone || task.step.job().state.Terminal() || task.step.def.Speculative {
+			continue
+		}
+		if task.phase == taskWaiting {
+			task.step.pending--
+			t.updateReady(now, task.step)
+		}
+		task.phase = taskActive
+		run := min(u.Run, task.step.job().baseRun) // no earlier term has assigned a higher one
+		t.holdUntil(task, u.Agent, run, now.Add(time.Duration(min(u.EndsInMs, longest))*time.Millisecond))
+	}
+}
+
+// listUnresolved returns the unresolved starts for the next leader: those of expired sessions, of
+// agents that are silent, and once the table is closed those of all agents.
+func (t *Table) listUnresolved(now time.Time) []UnresolvedStart {
+	var list []UnresolvedStart
+	for _, task := range t.unresolvedTasks {
+		u := task.unresolved
+		list = append(list, UnresolvedStart{Task: task.id(), Run: u.run, Agent: u.agent, EndsInMs: remainingMs(now, u.end)})
+	}
+	for _, a := range t.agents {
+		if !t.closed && now.Sub(a.reportedAt) < maxMissedReports*t.cfg.ReportInterval {
+			continue
+		}
+		for _, run := range a.runs {
+			if run.mayBeginLate() {
+				list = append(list, UnresolvedStart{
+					Task: run.task.id(), Run: run.number, Agent: a.id, EndsInMs: remainingMs(now, t.lateRunEnd(t.safeGrantEnd(a))),
+				})
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b UnresolvedStart) int {
+		return cmp.Or(strings.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
+			cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Run, b.Run))
+	})
+	return list
+}
--- a/process/schedule/unresolved_test.go
+++ b/process/schedule/unresolved_test.go
@@ -234,3 +234,107 @@
 	b.advanceSilently(unresolvedHold, "c")
 	onlyEntry(t, b.starts())
 }
+
+// nextTerm returns a table that has restored a job and the starts that a list names as unresolved. It
+// waits for the given agents of earlier terms until their leases end.
+func nextTerm(t *testing.T, list AgentLeases, def *job.Definition, leases map[string]EarlierLease) *testbench {
+	t.Helper()
+	b := newTestbench(t, list.Term+1)
+	b.table.Restore(b.now(), []Restored{{Definition: def, Term: list.Term}}, leases)
+	b.table.RestoreUnresolved(b.now(), list.Unresolved)
+	return b
+}
+
+// Guards against two runs of a task (TWICE): a leader that begins while a task is held places it,
+// although the unconfirmed start may still be executed.
+func TestNextLeaderHoldsUnresolvedStarts(t *testing.T) {
+	const silence = 2 * testLease
+	before := newTestbench(t, 1)
+	def := definition("j", checkProfile, 1)
+	k, agent, other := before.orderOne(def)
+	before.advanceSilently(silence, other)
+	before.requireHeld()
+	require.True(t, before.table.AgentLeasesChanged(before.now(), true))
+	list := before.take()
+	before.table.SetRegistered(list)
+	before.advanceSilently(testReportInterval, other)
+	require.False(t, before.table.AgentLeasesChanged(before.now(), true), "the times alone need no transaction")
+	require.Len(t, list.Unresolved, 1)
+
+	for _, leases := range []map[string]EarlierLease{nil, {other: {End: before.now().Add(2 * unresolvedHold)}}} {
+		b := nextTerm(t, list, def, leases)
+		b.join(other)
+		wait := b.startedElsewhereAfter(other)
+		require.GreaterOrEqual(t, wait, unresolvedHold-silence)
+		require.LessOrEqual(t, wait, unresolvedHold-silence+unresolvedHold/10)
+
+		b = nextTerm(t, list, def, leases)
+		b.join(other)
+		b.requireHeld()
+		b.report(agent, message.Report{Full: true, Worker: workerInfo(agent), Running: []message.RunState{{Key: k}}})
+		require.Equal(t, k.Run, b.table.task(k.Task).run.number, "the run that began late goes on")
+
+		b = nextTerm(t, list, def, leases)
+		b.join(other)
+		b.report(agent, message.Report{Full: true, Worker: workerInfo(agent)})
+		onlyEntry(t, b.starts())
+	}
+}
+
+// Guards against two runs of a task (TWICE): the hold of a restored task ends while agents of earlier
+// terms, which may have a run of it, have not reported.
+func TestRestoredHoldEndsWithTheLastOfTheAgents(t *testing.T) {
+	def := definition("j", checkProfile, 1)
+	list := AgentLeases{Term: 1, Unresolved: []UnresolvedStart{{Task: key("j", 0, 0, 1).Task, Run: 1, Agent: "a", EndsInMs: 1000}}}
+	b := nextTerm(t, list, def, leasesEnding(map[string]time.Time{"c": time.Now().Add(time.Hour)}))
+	b.table.unconfirmedAgents["c"] = EarlierLease{End: b.now().Add(10 * time.Second)}
+	b.join("b")
+	require.GreaterOrEqual(t, b.startedElsewhereAfter("b"), 10*time.Second)
+}
+
+// Guards against two runs of a task (TWICE): an agent has not confirmed a start when the leader ends or
+// hands over, and is not heard again.
+func TestListNamesUnconfirmedStarts(t *testing.T) {
+	b := newTestbench(t, 1)
+	k, agent, other := b.orderOne(definition("j", checkProfile, 1))
+	b.register()
+	require.Empty(t, b.table.storedLeases.Unresolved, "the agent reports")
+	b.advanceSilently((maxMissedReports+1)*testReportInterval, other)
+	require.True(t, b.table.AgentLeasesChanged(b.now(), true))
+	list := b.take()
+	require.Len(t, list.Unresolved, 1)
+	require.Equal(t, agent, list.Unresolved[0].Agent)
+	b.table.SetRegistered(list)
+	b.confirm(agent, k)
+	require.Empty(t, b.table.agentLeases(b.now(), true).Unresolved)
+
+	b = newTestbench(t, 1)
+	_, agent, _ = b.orderOne(definition("j", checkProfile, 1))
+	b.register()
+	b.table.Close()
+	list = b.take()
+	require.Len(t, list.Unresolved, 1)
+	require.Equal(t, agent, list.Unresolved[0].Agent)
+	require.GreaterOrEqual(t, list.Unresolved[0].EndsInMs, unresolvedHold.Milliseconds())
+}
+
+// Guards against a task that is held for good, or whose ends no longer count, because of an odd entry
+// in the list.
+func TestOddUnresolvedStartsAreBounded(t *testing.T) {
+	id := key("j", 0, 0, 1).Task
+	for _, u := range []UnresolvedStart{
+		{Task: id, Run: 1 << 31, EndsInMs: 1 << 60},
+		{Task: id, EndsInMs: -1 << 60},
+		{Task: job.TaskID{Job: "j", Step: 7}, EndsInMs: 1},
+		{Task: job.TaskID{Job: "j", Occurrence: -1}, EndsInMs: 1},
+		{Task: job.TaskID{Job: "unknown"}, EndsInMs: 1},
+	} {
+		b := nextTerm(t, AgentLeases{Term: 1, Unresolved: []UnresolvedStart{u}}, definition("j", checkProfile, 1), nil)
+		b.join("a")
+		b.advanceSilently(unresolvedHold+unresolvedHold/10, "a")
+		k, _ := onlyEntry(t, b.starts())
+		b.report("a", message.Report{Ends: []message.RunEnd{runEnd(k, job.EndDone, 1)}})
+		b.commit()
+		require.Equal(t, job.Done, b.state("j"))
+	}
+}
