process/lead: drop the notice of a job before the job may be purged

Callers could see a job that had ended run again, with the tasks that had ended as done.

An entry repeats its notice of a recorded job until an update of the leader contains the job. If it does not reach the leader for longer than the retention (130 s in deploy/entry.toml), the leader finds the job in the inbox, executes it and purges its record. The notice that arrives afterwards named a job that neither the table nor the store contained, so the leader added it as a new one.

An entry now drops a notice after half of the retention, also when it becomes the leader itself. A job is purged at the earliest a retention after its end, and a leader that reads the store finds it in the inbox within about a second.

--- a/process/lead/leader_conn.go
+++ b/process/lead/leader_conn.go
@@ -25,17 +25,22 @@
 	stamp, reportedStamp int64
 }
 
-// notice is a message to the leader, repeated until one of its updates shows the effect.
+// notice is a message to the leader, repeated until one of its updates shows the effect, or until it
+// is too old.
 type notice struct {
-	kind   message.Kind
-	body   any
-	sentAt time.Time
+	kind      message.Kind
+	body      any
+	createdAt time.Time
+	sentAt    time.Time
 }
 
 const (
 	redialInterval = 100 * time.Millisecond // least time between two attempts to connect to the leader
 	noticeInterval = 300 * time.Millisecond // least time between two transmissions of a notice
 	maxNotices     = 4096                   // the leader finds the jobs and cancellations of dropped notices in the store
+	// noticeDivisor gives the part of Timing.Retention after which a notice is dropped: the leader
+	// may purge the job a retention after its end, and would start it again on a later notice.
+	noticeDivisor = 2
 )
 
 // followLeader keeps the connection to the leader open, returns its stamps and repeats notices. It
@@ -87,6 +92,7 @@
 // dueNotices returns the notices that are due and marks them as sent. The caller holds mu.
 func (n *Node) dueNotices(now time.Time) []*notice {
 	var due []*notice
+	n.dropOldNotices(now)
 	for _, pending := range n.notices {
 		if now.Sub(pending.sentAt) >= noticeInterval {
 			pending.sentAt = now
@@ -96,6 +102,15 @@
 	return due
 }
 
+// dropOldNotices drops the notices that are too old. The caller holds mu.
+func (n *Node) dropOldNotices(now time.Time) {
+	for key, pending := range n.notices {
+		if now.Sub(pending.createdAt) >= n.cfg.Timing.Retention/noticeDivisor {
+			delete(n.notices, key)
+		}
+	}
+}
+
 // dial connects on the pool. The caller has set dialing.
 func (n *Node) dial(c *leaderConn) {
 	err := n.cfg.Pool.Submit(func(ctx context.Context) { n.connect(ctx, c) })
@@ -153,7 +168,8 @@
 // notifyLeader sends a notice if the leader is connected, and keeps it for repetition unless
 // maxNotices are kept already.
 func (n *Node) notifyLeader(key string, kind message.Kind, body any) {
-	pending := &notice{kind: kind, body: body, sentAt: n.cfg.Clock.Now()}
+	now := n.cfg.Clock.Now()
+	pending := &notice{kind: kind, body: body, createdAt: now, sentAt: now}
 	n.mu.Lock()
 	if len(n.notices) < maxNotices {
 		n.notices[key] = pending
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -221,6 +221,7 @@
 		return
 	}
 	n.mu.Lock()
+	n.dropOldNotices(n.cfg.Clock.Now())
 	if len(n.notices) == 0 {
 		n.mu.Unlock()
 		return
