process/runs: use the window for late calls of process/platform

Cause: the agent and the leader had a constant each for the same property of workers. Change: platform.LateCallWindow serves both. Result: go test ./process/runs passes.

--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -177,7 +177,7 @@
 	}
 	now := n.cfg.Clock.Now()
 	r.noResponseAt = now
-	n.lease.extendUnlisted(now.Add(lateCallWindow + n.cfg.Timing.longestLease()))
+	n.lease.extendUnlisted(now.Add(platform.LateCallWindow + n.cfg.Timing.longestLease()))
 	if n.token == token {
 		n.token++
 	}
--- a/process/runs/unlisted_instance_test.go
+++ b/process/runs/unlisted_instance_test.go
@@ -25,7 +25,7 @@
 	r.worker.setOutcome(always(unreachable))
 	began := r.clock.Now()
 	for r.node.hasRun(k) {
-		require.Less(r.t, r.clock.Since(began), 2*(lateCallWindow+testMaxLease), "the run of an unreachable worker never ends")
+		require.Less(r.t, r.clock.Since(began), 2*(platform.LateCallWindow+testMaxLease), "the run of an unreachable worker never ends")
 		r.clock.Advance(100 * time.Millisecond)
 		r.node.extendGrant(r.clock.Now().Add(testGrant))
 		r.poll(r.node)
@@ -83,7 +83,7 @@
 	r.awaitStartReturned(k)
 	r.worker.setOutcome(always(unreachable))
 	r.worker.restart()
-	r.clock.Advance(lateCallWindow - 500*time.Millisecond)
+	r.clock.Advance(platform.LateCallWindow - 500*time.Millisecond)
 	r.node.concludeExpired(r.clock.Now())
 	r.worker.runDelayedCalls()
 	require.True(t, r.worker.has(k))
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -22,8 +22,6 @@
 	// leaseClockFactor shortens the lease that is requested from the worker, whose
 	// clock may be 2% slow.
 	leaseClockFactor = 0.97
-	// lateCallWindow is how long the worker may still execute a call that had no response.
-	lateCallWindow = 13 * time.Second
 )
 
 // pollLoop polls the worker, which lists its runs and renews its lease, until ctx ends.
@@ -117,7 +115,7 @@
 	defer n.mu.Unlock()
 	n.lease.finish(q, !errors.Is(err, platform.ErrUnavailable))
 	if !q.end.IsZero() && hadNoResponse(err) {
-		n.lease.extendUnlisted(n.cfg.Clock.Now().Add(lateCallWindow + n.cfg.Timing.longestLease()))
+		n.lease.extendUnlisted(n.cfg.Clock.Now().Add(platform.LateCallWindow + n.cfg.Timing.longestLease()))
 	}
 }
 
@@ -310,5 +308,5 @@
 // its start had no response and could still be executed after the latest listing. The caller holds
 // mu.
 func (n *Node) mayBeUnlisted(r *run) bool {
-	return !r.noResponseAt.IsZero() && n.listedAt.Before(r.noResponseAt.Add(lateCallWindow))
+	return !r.noResponseAt.IsZero() && n.listedAt.Before(r.noResponseAt.Add(platform.LateCallWindow))
 }
