process/runs: report the listed worker instance before it has announced itself

Callers could see two runs of one task (TWICE): the leader takes the runs of a silent agent as ended by the worker instance that it knows. A restarted worker was listed, with a run under the longest lease, and reported under the previous instance until its announcement arrived, up to 1.5 s later. Change: reports name the instance of the latest listing.

TestReportNamesTheListedInstance failed before: the run was reported as confirmed at the previous instance. go test ./process/runs passes.

--- a/process/runs/report.go
+++ b/process/runs/report.go
@@ -69,6 +69,9 @@
 // resources of the runs there plus what the ledger would still admit. The caller holds mu.
 func (n *Node) workerInfo() message.WorkerInfo {
 	w := n.worker
+	// The leader must know of an instance that holds leases by calls to the one before, although it
+	// has not announced itself.
+	w.StartedMs = n.instanceStartMs
 	w.Draining = w.Draining || n.plannedStop
 	w.Capacity = n.cfg.Ledger.EffectiveCapacity()
 	return w
--- a/process/runs/unlisted_instance_test.go
+++ b/process/runs/unlisted_instance_test.go
@@ -170,3 +170,21 @@
 	r.announce(r.node, testCapacity, 2)
 	require.False(t, ended, "an announcement of the listed instance ends the poll")
 }
+
+// Guards against two runs of a task (TWICE): the leader takes the runs of a silent agent as ended by
+// the instance of the worker that it knows. A listing has shown another one, which has not announced
+// itself, and its run under the longest lease.
+func TestReportNamesTheListedInstance(t *testing.T) {
+	r := newOldWorkerRig(t)
+	r.worker.restart()
+	k := runKey("j", 1)
+	r.orderStarts(r.node, k)
+	r.awaitStartReturned(k)
+	r.poll(r.node) // made for the previous instance
+	r.poll(r.node)
+	require.True(t, r.worker.has(k))
+	report := fullReport(r.node)
+	require.Len(t, report.Running, 1)
+	require.False(t, report.Running[0].Unconfirmed)
+	require.Equal(t, r.worker.startedMs, report.Worker.StartedMs, "the run is reported as confirmed at the previous instance")
+}
