process/runs: count calls that a listed worker instance may still execute

Callers could see two runs of one task (TWICE). A call for the previous instance of a worker extends the lease of all runs of the next one until that has executed a poll with a higher token. The agent counted it only for the run that the call starts. Change: until then, all runs wait for the leases of calls without a response.

TestLateStartExtendsTheLeaseOfListedRuns failed before with "reported as ended while it is running". go test ./process/runs passes.

--- a/process/runs/unlisted_instance_test.go
+++ b/process/runs/unlisted_instance_test.go
@@ -188,3 +188,26 @@
 	require.False(t, report.Running[0].Unconfirmed)
 	require.Equal(t, r.worker.startedMs, report.Worker.StartedMs, "the run is reported as confirmed at the previous instance")
 }
+
+// Guards against two runs of a task (TWICE): an instance that has been listed, but has not executed a
+// poll with a higher token yet, executes a late start, which extends the lease of all its runs.
+func TestLateStartExtendsTheLeaseOfListedRuns(t *testing.T) {
+	r := newOldWorkerRig(t)
+	k := runKey("listed", 1)
+	r.worker.setOutcome(outcomeOf(map[string]callOutcome{"start": held}))
+	r.orderStarts(r.node, runKey("late", 1))
+	<-r.worker.heldCalls
+	r.worker.restart()
+	r.worker.mu.Lock()
+	r.worker.running[k] = platform.RunningTask{RunKey: k}
+	r.worker.extend(1 << 40)
+	r.worker.mu.Unlock()
+	require.True(t, r.poll(r.node)) // with the token of the start
+	require.True(t, r.node.hasRun(k))
+	r.worker.setOutcome(always(unreachable))
+	r.clock.Advance(testMaxLease - 100*time.Millisecond)
+	r.worker.releaseCalls()
+	r.awaitStartReturned(runKey("late", 1))
+	require.True(t, r.worker.has(runKey("late", 1)))
+	r.requireKeptWhileRunning(k)
+}
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -284,13 +284,14 @@
 
 // concludeExpired concludes the runs of a worker whose lease expired, plus a margin of 5% of
 // WorkerLease, and which has returned no listing for half of WorkerLease. A run stays as long as
-// an instance that has not been listed may execute its start or hold a lease for it.
+// an instance that has not been listed may execute its start or hold a lease for it, or the listed
+// one may still execute a call that was made for an earlier one.
 func (n *Node) concludeExpired(now time.Time) {
 	n.mu.Lock()
 	ended, leaseEnd := 0, n.lease.end()
 	if !leaseEnd.IsZero() && now.After(leaseEnd.Add(n.cfg.Timing.WorkerLease/20)) && now.Sub(n.listedAt) > n.cfg.Timing.WorkerLease/2 {
 		for _, r := range n.runs {
-			if r.startInFlight || n.mayBeUnlisted(r) && n.lease.mayLastUnlisted(now) {
+			if r.startInFlight || (!n.fenced || n.mayBeUnlisted(r)) && n.lease.mayLastUnlisted(now) {
 				continue
 			}
 			n.conclude(now, r, "lease expired", "the worker did not answer until its lease was over")
