process/lead: let the model execute starts late

The generated model of chains of leaders had no start without a response.

The bound on the time until each task has a run is that of the hold while the last leader has held one, as Load.UnresolvedTasks tells, and the former one otherwise.

--- a/process/lead/earlier_leases_model_test.go
+++ b/process/lead/earlier_leases_model_test.go
@@ -91,12 +91,18 @@
 			m.claim(e)
 		}
 	}
+	loseStart := func(t *rapid.T) {
+		if !m.loseStart(agent(t), rapid.SampledFrom(append(modelDelays, platform.LateCallWindow)).Draw(t, "delay")) {
+			t.Skip("no start")
+		}
+	}
 	return map[string]func(*rapid.T){
 		"advance 1": advance, "advance 2": advance, "advance 3": advance, "advance 4": advance,
 		"claim 1": claim, "claim 2": claim, "claim 3": claim, "claim 4": claim,
 		"hand over 1": handOver, "hand over 2": handOver,
 		"link": link, "split": split,
 		"restart worker 1": restartWorker, "restart worker 2": restartWorker,
+		"lose start 1": loseStart, "lose start 2": loseStart,
 		"overtake 1": overtake, "overtake 2": overtake,
 		"link fault": func(t *rapid.T) {
 			a := agent(t)
@@ -179,14 +185,19 @@
 // requirePlaced lets time pass until each task has a run at an agent that reports to the last
 // leader. It fails if that takes longer than Timing.Outage and the longest lease, and a tenth of them,
 // from the last grant to another agent. A leader that begins without a hand-over may begin the
-// wait anew; with one, it may add the time for which there was no leader.
+// wait anew; with one, it may add the time for which there was no leader. A start that a silent agent
+// has not confirmed may hold its task for as long as the start may be executed late, and its run last.
 func (m *leaderModel) requirePlaced(last *modelEntry) {
 	const tolerance = 10 // divisor
 	limit := testTiming.Outage + max(testTiming.Lease, m.maxWorkerLease)
 	limit += limit / tolerance
-	settled := m.clock.Now()
+	held := testTiming.Lease + platform.LateCallWindow + m.maxWorkerLease
+	settled, holds := m.clock.Now(), false
 	for {
 		deadline := settled.Add(modelPlacing)
+		if holds = holds || last.term().table.Load().UnresolvedTasks > 0; holds {
+			deadline = settled.Add(held + held/tolerance)
+		}
 		placed := map[job.TaskID]bool{}
 		for _, a := range m.agents {
 			if a.reportsTo(last) {
--- a/process/lead/model_agents_test.go
+++ b/process/lead/model_agents_test.go
@@ -56,6 +56,8 @@
 	// before.
 	foreignEnd  time.Time
 	runs        map[job.RunKey]bool
+	late        map[job.RunKey]lateRun // starts without a response
+	begunLate   job.RunKey             // the latest of them that has begun
 	ends        []message.RunEnd
 	refused     []message.RunRefusal
 	awaitsReply bool // a late reply is on its way
@@ -82,6 +84,31 @@
 	return a.runs[k] && a.holdsLease(now)
 }
 
+// lateRun is a run whose start is executed after its agent has gone silent, by another instance of the
+// worker, under the longest lease.
+type lateRun struct{ begins, ends time.Time }
+
+// resolveLate is what the agent learns from the worker about its starts without a response, before it
+// reports again.
+func (a *modelAgent) resolveLate(now time.Time) {
+	for k, r := range a.late {
+		delete(a.late, k)
+		switch {
+		case now.After(r.ends):
+			a.ends = append(a.ends, message.RunEnd{Key: k, How: job.EndLeaseExpired})
+		case now.Before(r.begins):
+			a.runs[k] = true // by the instance for which the call was made
+		default:
+			for other := range a.runs {
+				a.ends = append(a.ends, message.RunEnd{Key: other, How: job.EndLeaseExpired})
+			}
+			clear(a.runs)
+			a.runs[k], a.begunLate, a.foreignEnd = true, k, r.ends
+			a.startedMs++
+		}
+	}
+}
+
 // holdsLease reports whether the worker may hold a lease.
 func (a *modelAgent) holdsLease(now time.Time) bool {
 	return !now.After(a.leaseEnd) || !now.After(a.foreignEnd)
@@ -115,6 +142,7 @@
 func (a *modelAgent) buildReport(now time.Time) *message.Report {
 	a.sequence++
 	a.reportedAt = now
+	a.resolveLate(now)
 	r := &message.Report{
 		Agent: a.id, Session: a.session, Sequence: a.sequence, Term: a.term, Full: a.full, Ends: a.ends, Refused: a.refused,
 		Worker: &message.WorkerInfo{
--- a/process/lead/model_leaders_test.go
+++ b/process/lead/model_leaders_test.go
@@ -1,8 +1,11 @@
 package lead
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -37,6 +40,10 @@
 	newest  uint64 // the newest term that a process has loaded
 	// maxWorkerLease is the longest lease that workers grant; 0: no longer one than agents ask for.
 	maxWorkerLease time.Duration
+	// startDelay is when the worker executes the next start, which has no response; 0: at once. The
+	// start was sent to lateAgent then.
+	startDelay time.Duration
+	lateAgent  *modelAgent
 	// handedOver is the newest term that ended with a complete hand-over, which began at
 	// handOverBegan; 0: there is none.
 	handedOver    uint64
@@ -63,7 +70,7 @@
 	}
 	for i := range rapid.IntRange(2, 3).Draw(t, "agents") {
 		m.agents = append(m.agents, &modelAgent{
-			id: fmt.Sprint("agent", i), runs: map[job.RunKey]bool{}, session: 1,
+			id: fmt.Sprint("agent", i), runs: map[job.RunKey]bool{}, late: map[job.RunKey]lateRun{}, session: 1,
 			slowPercent: rapid.IntRange(0, 3).Draw(t, "slow"), older: rapid.Bool().Draw(t, "older"),
 		})
 	}
@@ -112,7 +119,7 @@
 }
 
 // observeTerm checks a term that a process has just loaded: the leader must wait for each agent
-// with a run. The model takes the orders from then on, not dispatch.
+// with a run, unless that is one for which an earlier leader holds the task. The model takes the orders from then on, not dispatch.
 func (m *leaderModel) observeTerm(e *modelEntry) {
 	l := e.term()
 	if l == nil || l.dispatching.Swap(true) {
@@ -130,7 +137,7 @@
 	withRuns := 0
 	for _, a := range m.agents {
 		for k := range a.runs {
-			if a.alive(m.clock.Now(), k) {
+			if a.alive(m.clock.Now(), k) && k != a.begunLate {
 				withRuns++
 				break
 			}
@@ -266,26 +273,61 @@
 	}
 }
 
-// restartWorker restarts the worker of an agent that reports to the newest leader. Calls to the
-// instance before start the same runs again, with the longest lease. The agent reports that, and
-// the leader has written it before anything else happens. It reports false if that is not possible now.
-func (m *leaderModel) restartWorker(a *modelAgent) bool {
+// inContact reports whether an agent reports to the newest leader, whose transactions are confirmed.
+func (m *leaderModel) inContact(a *modelAgent) bool {
 	if a.leader == nil || !a.reportsTo(a.leader) || a.fault != linkWorks || a.awaitsReply || !a.leader.running() {
 		return false
 	}
 	l, store := a.leader.term(), a.leader.store
-	if l == nil || l.number != m.newest || store.cut || store.fault != commitWorks || l.mu.pending != nil || l.resigning.Load() {
+	return l != nil && l.number == m.newest && !store.cut && store.fault == commitWorks && l.mu.pending == nil && !l.resigning.Load()
+}
+
+// restartWorker restarts the worker of an agent that reports to the newest leader. Calls to the
+// instance before start the same runs again, with the longest lease. The agent reports that, and
+// the leader has written it before anything else happens. It reports false if that is not possible now.
+func (m *leaderModel) restartWorker(a *modelAgent) bool {
+	if !m.inContact(a) {
 		return false
 	}
-	now := m.clock.Now()
+	l, now := a.leader.term(), m.clock.Now()
 	a.expire(now)
 	a.startedMs++
-	a.foreignEnd = now.Add(m.maxWorkerLease * (100 + modelWorkerSlowPercent) / 100)
+	a.foreignEnd = now.Add(m.longestWorkerLease())
 	m.report(a)
 	l.write(m.t.Context())
 	return a.leader != nil && l.mu.pending == nil
 }
 
+// loseStart makes an agent that reports to the newest leader end a run. The next start of the task has
+// no response, its agent goes silent, and the leader has written that before anything else happens.
+func (m *leaderModel) loseStart(a *modelAgent, delay time.Duration) bool {
+	if len(a.runs) == 0 || m.maxWorkerLease == 0 || !m.inContact(a) {
+		return false
+	}
+	keys := slices.SortedFunc(maps.Keys(a.runs), func(x, y job.RunKey) int { return cmp.Compare(x.Task.Index, y.Task.Index) })
+	delete(a.runs, keys[0])
+	a.ends = append(a.ends, message.RunEnd{Key: keys[0], How: job.EndStopped})
+	m.startDelay, m.lateAgent = delay, nil
+	m.report(a)
+	m.startDelay = 0
+	if m.lateAgent == nil {
+		return false
+	}
+	m.lateAgent.mode = linkCut
+	m.lateAgent.drop()
+	m.advance(modelSilence)
+	return true
+}
+
+// modelSilence is the time after which a leader has listed the starts that a silent agent has not
+// confirmed.
+const modelSilence = 2 * time.Second
+
+// longestWorkerLease is the longest lease of a slow worker by the leaders' clocks.
+func (m *leaderModel) longestWorkerLease() time.Duration {
+	return m.maxWorkerLease * (100 + modelWorkerSlowPercent) / 100
+}
+
 // modelWorkerSlowPercent is how much slower than the leaders' clocks that of a worker may be.
 const modelWorkerSlowPercent = 2
 
@@ -442,6 +484,12 @@
 			continue
 		}
 		m.requireNoOther(start.Key, a.id+" starts a run")
+		if m.startDelay > 0 {
+			begins := now.Add(m.startDelay)
+			a.late[start.Key] = lateRun{begins, begins.Add(m.longestWorkerLease())}
+			m.startDelay, m.lateAgent = 0, a
+			continue
+		}
 		a.runs[start.Key] = true
 	}
 }
@@ -455,6 +503,12 @@
 					other.Run, a.id, a.leaseEnd.Sub(m.clock.Now()))
 			}
 		}
+		for other, r := range a.late {
+			if other.Task == k.Task && other != k && !m.clock.Now().After(r.ends) {
+				m.t.Fatalf("%s: %s, %d of task %s, while run %d may begin at %s, and last for %s", m.now(), what, k.Run, k.Task,
+					other.Run, a.id, r.ends.Sub(m.clock.Now()))
+			}
+		}
 	}
 }
 
--- a/process/schedule/tick.go
+++ b/process/schedule/tick.go
@@ -64,18 +64,21 @@
 }
 
 // Load contains the numbers of jobs, attached agents, ready steps and runs in a table, of the
-// agents of earlier terms that have not reported and may still have runs, and of the idle
-// long-running tasks at the latest scan.
+// agents of earlier terms that have not reported and may still have runs, of the tasks that are held
+// because of an unresolved start, and of the idle long-running tasks at the latest scan.
 type Load struct {
-	Jobs, Agents, Ready, Runs, UnconfirmedAgents int
-	Idle                                         IdleCounts
+	Jobs, Agents, Ready, Runs, UnconfirmedAgents, UnresolvedTasks int
+	Idle                                                          IdleCounts
 }
 
 // Load returns the current numbers.
 func (t *Table) Load() Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := Load{Jobs: len(t.jobs), Agents: len(t.agents), Ready: len(t.ready), UnconfirmedAgents: len(t.unconfirmedAgents), Idle: t.idle.counts}
+	l := Load{
+		Jobs: len(t.jobs), Agents: len(t.agents), Ready: len(t.ready), UnconfirmedAgents: len(t.unconfirmedAgents),
+		UnresolvedTasks: len(t.unresolvedTasks), Idle: t.idle.counts,
+	}
 	for _, a := range t.agents {
 		l.Runs += len(a.runs)
 	}
