integration: give the restarted workers of the tests room and starts in time

Cause: jobs that take longer than 0.1 s from submission to start, as on a busy machine, left few starts in the time between a restart and the cut. Change: many tasks per job from 0.6 s before the worker is up, six instead of nine, and room for ten times as many tasks per worker.

--- a/integration/restartedworker_test.go
+++ b/integration/restartedworker_test.go
@@ -40,16 +40,15 @@
 	// minLongTask and maxLongTask are the duration of a task, which is more than the lease that an
 	// agent asks for, and less or more than the longest lease of a worker.
 	minLongTask, maxLongTask = 5 * time.Second, 9 * time.Second
-	// A job of one task begins every longTaskInterval. While a worker has been restarted and is not
-	// cut off yet, each job has manyTasks, so that some start there in that time. Two workers have
-	// room for all of them.
+	// A job of one task begins every longTaskInterval. From manyTasksBefore a worker is up again until
+	// it is cut off, each job has manyTasks, so that some start there in that time, also if a job
+	// takes long from its submission to its start. Two workers have room for all of them.
 	longTaskInterval = 100 * time.Millisecond
-	manyTasks        = 9
+	manyTasks        = 6
+	manyTasksBefore  = 600 * time.Millisecond
 	longTaskStream   = 11 // of the random numbers of the jobs
 	// firstRestart is when the load has become steady.
 	firstRestart = 6 * time.Second
-	// tasksBefore is about how long a task takes from its submission to its start.
-	tasksBefore = 100 * time.Millisecond
 	// maxPollWait is the longest wait of an agent's poll.
 	maxPollWait = 500 * time.Millisecond
 	// A killed leader is away for leaderDowntime, so that the other entry leads.
@@ -63,10 +62,10 @@
 // users' platform do.
 func withLongestLease(d *deployment) { d.lease.WorkerMaxMs = 2 * d.lease.WorkerMs }
 
-// withLargeWorkers gives the workers room for eight times as many tasks, so that starts of long
+// withLargeWorkers gives the workers room for ten times as many tasks, so that starts of long
 // tasks are under way all the time.
 func withLargeWorkers(d *deployment) {
-	d.capacity = resources.Resources{MilliCPU: 8 * hostCapacity.MilliCPU, MemoryMB: 8 * hostCapacity.MemoryMB}
+	d.capacity = resources.Resources{MilliCPU: 10 * hostCapacity.MilliCPU, MemoryMB: 10 * hostCapacity.MemoryMB}
 }
 
 // withConnectionPerCall lets each call to a worker have its own connection. Those that are silent
@@ -139,7 +138,7 @@
 		r.cut = r.up + minCutDelay + randomDuration(rng, maxCutDelay-minCutDelay)
 		r.healed = r.cut + minCutTime + randomDuration(rng, maxCutTime-minCutTime)
 		list = append(list, scheduledFault{silentRestart(r.host), r.restart, r.healed},
-			scheduledFault{manyTasksPerJob, r.up - tasksBefore, r.cut}, scheduledFault{cutOff(r.host), r.cut, r.healed})
+			scheduledFault{manyTasksPerJob, r.up - manyTasksBefore, r.cut}, scheduledFault{cutOff(r.host), r.cut, r.healed})
 		list = append(list, more(rng, r)...)
 	}
 	return list
