process/agent, process/entry: do not report checks of an earlier process as not run

Callers could be told "not run" for a check that had run, and a non-idempotent one could run again.

Cause: an entry that loses the connection of a check asks the agent for its outcome. An agent that has restarted since the check was sent has no record of it, and replied that it had not run. Change: the query says how long ago the check was sent. For one from before its start the agent replies that it does not know, and refuses it from then on.

--- a/connection/message/message.go
+++ b/connection/message/message.go
@@ -128,6 +128,8 @@
 type Query struct {
 	Request string `msgpack:"i"`
 	Attempt uint8  `msgpack:"a"`
+	// SentAgoMs is how long ago the check was sent, by the entry's clock.
+	SentAgoMs int64 `msgpack:"t,omitempty"`
 }
 
 // QueryState is the state of a check at an agent.
@@ -138,6 +140,9 @@
 	QueryNotRun  QueryState = 1 // was not received; a tombstone refuses it from now on
 	QueryPending QueryState = 2 // queued or running
 	QueryDone    QueryState = 3 // has ended with a reply or an error
+	// QueryUnknown: an earlier process of the agent may have received the check. It is refused from
+	// now on, but may have run.
+	QueryUnknown QueryState = 4
 )
 
 // QueryReply is the reply to a Query. In state QueryDone, Reply or Error is set.
--- a/process/agent/checks.go
+++ b/process/agent/checks.go
@@ -20,6 +20,9 @@
 	// outcomeRetention is how long the outcome of an ended check can be queried. It exceeds
 	// the time after which an entry drops an unresponsive connection and queries.
 	outcomeRetention = 30 * time.Second
+	// sentTimeSlack covers the difference of clock rates in Query.SentAgoMs, 2% of outcomeRetention,
+	// and the time that the query takes.
+	sentTimeSlack = time.Second
 	// drainTimeout bounds the wait for running checks when the process stops.
 	drainTimeout = 10 * time.Second
 )
@@ -130,8 +133,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if record, ok := c.requests[p.check.Request]; ok {
-		if record.state == message.QueryNotRun {
-			return nil, outcome.New(outcome.Tombstoned, "check arrived after a query had reported it as not run")
+		if record.state == message.QueryNotRun || record.state == message.QueryUnknown {
+			return nil, outcome.New(outcome.Tombstoned, "check arrived after a query for its outcome")
 		}
 		return nil, outcome.New(outcome.Internal, "a check with this request ID was received before")
 	}
@@ -181,7 +184,11 @@
 	defer c.mu.Unlock()
 	record, ok := c.requests[q.Request]
 	if !ok {
-		record = &checkRecord{state: message.QueryNotRun, at: c.agent.clock.Now()}
+		now := c.agent.clock.Now()
+		record = &checkRecord{state: message.QueryNotRun, at: now}
+		if age := time.Duration(q.SentAgoMs)*time.Millisecond + sentTimeSlack; now.Sub(c.agent.started) < age {
+			record.state = message.QueryUnknown
+		}
 		c.requests[q.Request] = record
 	}
 	return message.QueryReply{State: record.state, Reply: record.reply, Error: record.err}
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -35,6 +35,7 @@
 	number     int
 
 	check   message.Check
+	sentAt  time.Time
 	pending *peer.Pending
 }
 
@@ -46,7 +47,7 @@
 	return a.finish(ctx)
 }
 
-// send connects to the target and sends the check. It sets check and pending.
+// send connects to the target and sends the check. It sets check, sentAt and pending.
 func (a *attempt) send(ctx context.Context) *outcome.Error {
 	if failure := a.awaitLink(ctx); failure != nil {
 		return failure
@@ -66,6 +67,7 @@
 	}
 	a.router.entry.log.Emit(event.CheckRouted, "request", s.ID, "profile", s.Profile.Name, "franchisee", s.Franchisee,
 		"agent", a.target.Agent, "attempt", a.number)
+	a.sentAt = a.router.entry.clock.Now()
 	a.pending, err = conn.Start(message.KindCheck, a.check)
 	return outcome.From(err)
 }
@@ -137,6 +139,7 @@
 	defer cancel()
 	query := message.Query{Request: a.check.Request, Attempt: a.check.Attempt}
 	for {
+		query.SentAgoMs = a.router.entry.clock.Since(a.sentAt).Milliseconds()
 		var result message.QueryReply
 		err := a.router.entry.net.Call(ctx, a.target.Address, message.KindQuery, query, &result)
 		switch {
@@ -144,6 +147,8 @@
 			return outcome.New(outcome.ConnectionLost, "the connection was lost, and the query for the outcome of the check failed")
 		case result.State == message.QueryNotRun:
 			return outcome.New(outcome.ConnectionLost, "the check did not reach the agent").AsNotRun()
+		case result.State == message.QueryUnknown:
+			return outcome.New(outcome.ConnectionLost, "the connection was lost, and the agent has restarted since the check was sent")
 		case result.State == message.QueryDone && result.Reply != nil:
 			*reply = *result.Reply
 			return nil
