process/runs, process/schedule: names and comments that the review stumbled over

Cause: "foreign" leases, two predicates named "may be/last unlisted", and a window without a reason. Change: restartLeaseEnd, unlistedMayHoldLease, mayRunAtUnlistedInstance, outcomeUnknown, clockBehind; a definition of listed and announced instances. No behaviour is changed.

--- a/process/lead/earlier_leases.go
+++ b/process/lead/earlier_leases.go
@@ -34,10 +34,10 @@
 		case list.Closed && list.Term+1 == previous:
 			lease.Earliest = recorded // as above
 		}
-		if a.ForeignEndsInMs > 0 {
-			ms := min(a.ForeignEndsInMs, longest.Sub(now).Milliseconds())
-			foreign := now.Add(time.Duration(ms) * time.Millisecond)
-			lease.End, lease.Earliest = latest(lease.End, foreign), latest(lease.Earliest, foreign)
+		if a.RestartEndsInMs > 0 {
+			ms := min(a.RestartEndsInMs, longest.Sub(now).Milliseconds())
+			restartEnd := now.Add(time.Duration(ms) * time.Millisecond)
+			lease.End, lease.Earliest = latest(lease.End, restartEnd), latest(lease.Earliest, restartEnd)
 		}
 		leases[a.Agent] = lease
 	}
--- a/process/lead/model_agents_test.go
+++ b/process/lead/model_agents_test.go
@@ -52,15 +52,15 @@
 	grantedAt   time.Time // when the report was sent whose grant ends last
 	leaseEnd    time.Time // by the true clock
 	startedMs   int64     // of the worker instance
-	// foreignEnd is when the lease of a restarted worker ends that it holds by a call to the instance
+	// restartLeaseEnd is when the lease of a restarted worker ends that it holds by a call to the instance
 	// before.
-	foreignEnd  time.Time
-	runs        map[job.RunKey]bool
-	late        map[job.RunKey]lateRun // starts without a response
-	begunLate   job.RunKey             // the latest of them that has begun
-	ends        []message.RunEnd
-	refused     []message.RunRefusal
-	awaitsReply bool // a late reply is on its way
+	restartLeaseEnd time.Time
+	runs            map[job.RunKey]bool
+	late            map[job.RunKey]lateRun // starts without a response
+	begunLate       job.RunKey             // the latest of them that has begun
+	ends            []message.RunEnd
+	refused         []message.RunRefusal
+	awaitsReply     bool // a late reply is on its way
 	// countsFrom is when a leader last began to wait for the longest grant, later by the time
 	// without a leader before terms that were handed over since.
 	countsFrom time.Time
@@ -103,7 +103,7 @@
 				a.ends = append(a.ends, message.RunEnd{Key: other, How: job.EndLeaseExpired})
 			}
 			clear(a.runs)
-			a.runs[k], a.begunLate, a.foreignEnd = true, k, r.ends
+			a.runs[k], a.begunLate, a.restartLeaseEnd = true, k, r.ends
 			a.startedMs++
 		}
 	}
@@ -111,7 +111,7 @@
 
 // holdsLease reports whether the worker may hold a lease.
 func (a *modelAgent) holdsLease(now time.Time) bool {
-	return !now.After(a.leaseEnd) || !now.After(a.foreignEnd)
+	return !now.After(a.leaseEnd) || !now.After(a.restartLeaseEnd)
 }
 
 // expire ends the runs once the lease is over.
--- a/process/lead/model_leaders_test.go
+++ b/process/lead/model_leaders_test.go
@@ -292,7 +292,7 @@
 	l, now := a.leader.term(), m.clock.Now()
 	a.expire(now)
 	a.startedMs++
-	a.foreignEnd = now.Add(m.longestWorkerLease())
+	a.restartLeaseEnd = now.Add(m.longestWorkerLease())
 	m.report(a)
 	l.write(m.t.Context())
 	return a.leader != nil && l.mu.pending == nil
@@ -479,7 +479,7 @@
 		}
 	}
 	for _, start := range o.Starts {
-		if now.After(a.leaseEnd) || a.foreignEnd.After(a.leaseEnd) {
+		if now.After(a.leaseEnd) || a.restartLeaseEnd.After(a.leaseEnd) {
 			a.refused = append(a.refused, message.RunRefusal{Key: start.Key, Reason: message.RefusedLease})
 			continue
 		}
--- a/process/lead/restarted_worker_test.go
+++ b/process/lead/restarted_worker_test.go
@@ -86,7 +86,7 @@
 
 // Guards against a wait that the list of agents makes too short or too long, for workers that have
 // restarted.
-func TestWaitFollowsTheForeignLeasesOfTheList(t *testing.T) {
+func TestWaitFollowsTheRestartLeasesOfTheList(t *testing.T) {
 	now, timing := time.Now(), testTiming
 	timing.MaxWorkerLease = longestTestLease
 	longest := timing.Outage + longestTestLease
@@ -101,7 +101,7 @@
 		{"odd", 4, 1 << 60, longest, longest},
 		{"odd", 4, -7, 0, longest},
 	} {
-		list := schedule.AgentLeases{Term: c.term, Agents: []schedule.AgentLease{{Agent: "a", ForeignEndsInMs: c.ms}}}
+		list := schedule.AgentLeases{Term: c.term, Agents: []schedule.AgentLease{{Agent: "a", RestartEndsInMs: c.ms}}}
 		lease := earlierLeases(now, &list, 4, &timing)["a"]
 		for _, bound := range []struct{ wait, want time.Duration }{{lease.Earliest.Sub(now), c.earliest}, {lease.End.Sub(now), c.latest}} {
 			require.GreaterOrEqual(t, bound.wait, bound.want, c.name)
--- a/process/platform/worker.go
+++ b/process/platform/worker.go
@@ -109,6 +109,7 @@
 }
 
 // LateCallWindow is how long after a call was sent a worker may execute it, if there was no response.
+// Workers of the users' platform execute such calls up to 12 s late; the rest is a margin.
 const LateCallWindow = 13 * time.Second
 
 // Worker is the interface to the worker beside an agent; only that agent uses it. After
--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -85,9 +85,9 @@
 		bounded, cancel := context.WithTimeout(ctx, n.cfg.Timing.WorkerCallTimeout)
 		clockMs, err := n.cfg.Worker.Start(bounded, req)
 		cancel()
-		if lag := lease.clockLag(clockMs); lag > 0 {
+		if behind := lease.clockBehind(clockMs); behind > 0 {
 			n.cfg.Log.Emit(event.StartAnsweredByAnotherInstance, "worker", req.Instance, "task", r.order.Key.Task.String(),
-				"run", r.order.Key.Run, "behind_ms", lag.Milliseconds())
+				"run", r.order.Key.Run, "behind_ms", behind.Milliseconds())
 			err = errAnotherInstance
 		}
 		n.finishStart(r, lease, req.Token, err)
@@ -172,7 +172,7 @@
 	defer n.mu.Unlock()
 	n.lease.finish(lease, !errors.Is(err, platform.ErrUnavailable))
 	r.startInFlight = false
-	if !hadNoResponse(err) {
+	if !outcomeUnknown(err) {
 		return
 	}
 	now := n.cfg.Clock.Now()
--- a/process/runs/lease.go
+++ b/process/runs/lease.go
@@ -28,10 +28,10 @@
 	clock  workerClock // by which the lease was requested
 }
 
-// clockLag returns how far the clock in a response is behind the lowest value that the instance
-// for which the call was made may show, whose clock may be slow; 0: it is not behind, or a clock
-// is unknown. Another instance has responded if it is behind.
-func (q *leaseRequest) clockLag(responseMs int64) time.Duration {
+// clockBehind returns by how much the clock in a response is behind the lowest value that the instance
+// for which the call was made may show, whose clock may be slow; 0: it is not behind, or a clock is
+// unknown. If it is behind, an instance that has started since has responded.
+func (q *leaseRequest) clockBehind(responseMs int64) time.Duration {
 	if responseMs <= 0 || q.clock.readAt.IsZero() {
 		return 0
 	}
@@ -74,9 +74,9 @@
 	}
 }
 
-// mayLastUnlisted reports whether an instance that has not been listed may hold a lease: also by a
-// call in flight, however long ago it was sent.
-func (l *workerLease) mayLastUnlisted(now time.Time) bool {
+// unlistedMayHoldLease reports whether an instance that has not been listed may hold a lease, or a call
+// that may give it one is still in flight.
+func (l *workerLease) unlistedMayHoldLease(now time.Time) bool {
 	for q := range l.inFlight {
 		if !q.end.IsZero() {
 			return true
--- a/process/runs/node.go
+++ b/process/runs/node.go
@@ -128,8 +128,10 @@
 	// listedAt is when the latest listing arrived, polledAt when the poll of the latest one with
 	// all ends was sent; zero: none.
 	listedAt, polledAt time.Time
-	instanceStartMs    int64 // latest listing's worker instance: Unix time of its start, in ms; 0: none yet
-	runs               map[job.RunKey]*run
+	// instanceStartMs identifies the worker instance of the latest listing: the Unix time of its
+	// start, in ms; 0: none yet. That instance is listed; it is announced once worker describes it.
+	instanceStartMs int64
+	runs            map[job.RunKey]*run
 	// ends are in the order of the worker's numbers; one that the agent concluded follows those
 	// known by then. The first reportedEnds of them were reported in this session.
 	ends             []*pendingEnd
--- a/process/runs/unlisted_instance_test.go
+++ b/process/runs/unlisted_instance_test.go
@@ -92,20 +92,20 @@
 
 // Guards against starts that count as answered by a restarted worker although the listed one has
 // answered them, whose clock may be 2% slow and is read in whole milliseconds.
-func TestClockLagAllowsForSlowClocks(t *testing.T) {
+func TestClockBehindAllowsForSlowClocks(t *testing.T) {
 	at := time.Date(2026, 12, 6, 0, 0, 0, 0, time.UTC)
 	for elapsedMs := int64(0); elapsedMs < 3000; elapsedMs++ {
 		q := leaseRequest{clock: workerClock{valueMs: 50_000, readAt: at}, sentAt: at.Add(time.Duration(elapsedMs) * time.Millisecond)}
 		for _, rate := range []float64{0.98, 1} {
 			for _, shown := range []float64{50_000, 50_000.999} { // valueMs is rounded down
-				require.Zero(t, q.clockLag(int64(shown+float64(elapsedMs)*rate)))
+				require.Zero(t, q.clockBehind(int64(shown+float64(elapsedMs)*rate)))
 			}
 		}
 	}
 	q := leaseRequest{clock: workerClock{valueMs: 50_000, readAt: at}, sentAt: at.Add(time.Second)}
-	require.Equal(t, 50_870*time.Millisecond, q.clockLag(100))
-	require.Zero(t, q.clockLag(0), "an unknown clock is behind")
-	require.Zero(t, (&leaseRequest{}).clockLag(100), "a clock is behind an unknown one")
+	require.Equal(t, 50_870*time.Millisecond, q.clockBehind(100))
+	require.Zero(t, q.clockBehind(0), "an unknown clock is behind")
+	require.Zero(t, (&leaseRequest{}).clockBehind(100), "a clock is behind an unknown one")
 }
 
 // Guards against a refusal by a restarted worker that is taken as the answer of the listed one,
--- a/process/runs/worker.go
+++ b/process/runs/worker.go
@@ -114,14 +114,14 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.lease.finish(q, !errors.Is(err, platform.ErrUnavailable))
-	if !q.end.IsZero() && hadNoResponse(err) {
+	if !q.end.IsZero() && outcomeUnknown(err) {
 		n.lease.extendUnlisted(n.cfg.Clock.Now().Add(platform.LateCallWindow + n.cfg.Timing.longestLease()))
 	}
 }
 
-// hadNoResponse reports whether a call failed in a way that leaves open whether the worker has
-// executed it or will.
-func hadNoResponse(err error) bool {
+// outcomeUnknown reports whether a call failed in a way that leaves open whether the instance that it
+// was made for has executed it or will.
+func outcomeUnknown(err error) bool {
 	var refusal *platform.RefusalError
 	return err != nil && !errors.As(err, &refusal) && !errors.Is(err, platform.ErrUnavailable)
 }
@@ -291,7 +291,7 @@
 	ended, leaseEnd := 0, n.lease.end()
 	if !leaseEnd.IsZero() && now.After(leaseEnd.Add(n.cfg.Timing.WorkerLease/20)) && now.Sub(n.listedAt) > n.cfg.Timing.WorkerLease/2 {
 		for _, r := range n.runs {
-			if r.startInFlight || (!n.fenced || n.mayBeUnlisted(r)) && n.lease.mayLastUnlisted(now) {
+			if r.startInFlight || (!n.fenced || n.mayRunAtUnlistedInstance(r)) && n.lease.unlistedMayHoldLease(now) {
 				continue
 			}
 			n.conclude(now, r, "lease expired", "the worker did not answer until its lease was over")
@@ -305,9 +305,9 @@
 	}
 }
 
-// mayBeUnlisted reports whether an instance that has not been listed may have the run: a copy of
+// mayRunAtUnlistedInstance reports whether an instance that has not been listed may have the run: a copy of
 // its start had no response and could still be executed after the latest listing. The caller holds
 // mu.
-func (n *Node) mayBeUnlisted(r *run) bool {
+func (n *Node) mayRunAtUnlistedInstance(r *run) bool {
 	return !r.noResponseAt.IsZero() && n.listedAt.Before(r.noResponseAt.Add(platform.LateCallWindow))
 }
--- a/process/schedule/agent_leases.go
+++ b/process/schedule/agent_leases.go
@@ -37,18 +37,18 @@
 	// been granted until then are known to have ended. It is 0 for an agent that has reported to
 	// the leader of an open list: no earlier leader's grant counts any more.
 	EndsInMs int64 `msgpack:"e,omitempty"`
-	// ForeignEndsInMs is as EndsInMs, for the leases of the agent's worker that were not given to it
+	// RestartEndsInMs is as EndsInMs, for the leases of the agent's worker that were not given to it
 	// under a leader's grant, but in calls to an earlier instance. It is 0 if a lease that the leader
 	// of the list grants now ends later.
-	ForeignEndsInMs int64 `msgpack:"f,omitempty"`
-	// WorkerStartedMs identifies the instance of the worker that ForeignEndsInMs is about.
+	RestartEndsInMs int64 `msgpack:"f,omitempty"`
+	// WorkerStartedMs identifies the instance of the worker that RestartEndsInMs is about.
 	WorkerStartedMs int64 `msgpack:"s,omitempty"`
 	// Withheld: the agent is missing, and neither the leader that made the list nor a later one
 	// grants it a lease before the store contains a list of its own term without this mark.
 	Withheld bool `msgpack:"w,omitempty"`
 }
 
-// sameExceptTimes reports whether a list differs from the stored one in times at most, and in foreign
+// sameExceptTimes reports whether a list differs from the stored one in times at most, and in
 // leases that have ended and starts that have been resolved since then.
 func (l *AgentLeases) sameExceptTimes(stored *AgentLeases) bool {
 	for _, u := range l.Unresolved {
@@ -59,8 +59,8 @@
 		}
 	}
 	return l.Term == stored.Term && l.Closed == stored.Closed && slices.EqualFunc(l.Agents, stored.Agents, func(a, b AgentLease) bool {
-		sameForeign := a.ForeignEndsInMs == 0 || b.ForeignEndsInMs != 0 && a.WorkerStartedMs == b.WorkerStartedMs
-		return a.Agent == b.Agent && a.Withheld == b.Withheld && sameForeign
+		sameRestart := a.RestartEndsInMs == 0 || b.RestartEndsInMs != 0 && a.WorkerStartedMs == b.WorkerStartedMs
+		return a.Agent == b.Agent && a.Withheld == b.Withheld && sameRestart
 	})
 }
 
@@ -159,8 +159,8 @@
 		lease := AgentLease{Agent: id}
 		if t.closed {
 			lease.EndsInMs = remainingMs(now, t.safeLeaseEnd(a))
-		} else if a.foreignLeaseEnd.After(t.safeGrantEnd(a)) {
-			lease.ForeignEndsInMs, lease.WorkerStartedMs = remainingMs(now, a.foreignLeaseEnd), a.worker.StartedMs
+		} else if a.restartLeaseEnd.After(t.safeGrantEnd(a)) {
+			lease.RestartEndsInMs, lease.WorkerStartedMs = remainingMs(now, a.restartLeaseEnd), a.worker.StartedMs
 		}
 		list.Agents = append(list.Agents, lease)
 	}
--- a/process/schedule/agent_leases_test.go
+++ b/process/schedule/agent_leases_test.go
@@ -67,7 +67,7 @@
 	b.table.SetRegistered(list) // the write of the earlier list is confirmed now
 	pending(message.Report{Session: 2})
 	list = b.take()
-	require.Equal(t, []AgentLease{{Agent: "a", ForeignEndsInMs: foreignLease.Milliseconds(), WorkerStartedMs: 1}}, list.Agents)
+	require.Equal(t, []AgentLease{{Agent: "a", RestartEndsInMs: restartLease.Milliseconds(), WorkerStartedMs: 1}}, list.Agents)
 	pending(message.Report{Session: 2})
 	b.table.SetRegistered(list)
 	reply := b.report("a", message.Report{Session: 2})
--- a/process/schedule/agents.go
+++ b/process/schedule/agents.go
@@ -23,9 +23,9 @@
 	reportedAt    time.Time // when that report was applied
 	worker        message.WorkerInfo
 	workerKnownAt time.Time // when this instance of the worker was first reported
-	// foreignLeaseEnd is the time by which leases of this instance of the worker are known to have
+	// restartLeaseEnd is the time by which leases of this instance of the worker are known to have
 	// ended that were not given to it under the leader's grant, but in calls to an earlier instance.
-	foreignLeaseEnd time.Time
+	restartLeaseEnd time.Time
 	node            placement.Node
 	runs            map[job.RunKey]*runState // runs that may be alive at the worker
 	ends            []pendingEnd             // in the order of their serials
@@ -182,7 +182,7 @@
 func (t *Table) updateWorker(now time.Time, a *agentState, w *message.WorkerInfo) {
 	if w.StartedMs != a.worker.StartedMs || a.workerKnownAt.IsZero() {
 		a.workerKnownAt = now
-		a.foreignLeaseEnd = SafeLeaseEnd(now.Add(t.cfg.MaxWorkerLease), t.cfg.MaxWorkerLease)
+		a.restartLeaseEnd = SafeLeaseEnd(now.Add(t.cfg.MaxWorkerLease), t.cfg.MaxWorkerLease)
 		t.setHealth(a, health{})
 	}
 	a.worker = *w
--- a/process/schedule/restarted_worker_test.go
+++ b/process/schedule/restarted_worker_test.go
@@ -10,9 +10,9 @@
 	"camphorhead.example/camphorhead/request/job"
 )
 
-// foreignLease is how long a worker instance that has just been reported may hold a lease by a call to
+// restartLease is how long a worker instance that has just been reported may hold a lease by a call to
 // an earlier one.
-const foreignLease = testMaxWorkerLease + testMaxWorkerLease*4/100
+const restartLease = testMaxWorkerLease + testMaxWorkerLease*4/100
 
 // confirm reports the runs of an agent as confirmed.
 func (b *testbench) confirm(agent string, keys ...job.RunKey) {
@@ -122,7 +122,7 @@
 	b.report("a", message.Report{Worker: restarted})
 	require.True(t, b.table.AgentLeasesChanged(b.now(), true))
 	list := b.take()
-	require.Equal(t, []AgentLease{{Agent: "a", ForeignEndsInMs: foreignLease.Milliseconds(), WorkerStartedMs: 2}}, list.Agents)
+	require.Equal(t, []AgentLease{{Agent: "a", RestartEndsInMs: restartLease.Milliseconds(), WorkerStartedMs: 2}}, list.Agents)
 	b.table.SetRegistered(list)
 
 	b.clock.Advance(testReportInterval)
--- a/process/schedule/restore_test.go
+++ b/process/schedule/restore_test.go
@@ -105,5 +105,5 @@
 	require.NotZero(t, b.take().Agents[0].EndsInMs, "leases of earlier terms may last on")
 	full.Term, full.Session = reply.Term, 2
 	require.NotZero(t, b.report("a", full).LeaseMs)
-	require.Equal(t, []AgentLease{{Agent: "a", ForeignEndsInMs: foreignLease.Milliseconds(), WorkerStartedMs: 1}}, b.take().Agents)
+	require.Equal(t, []AgentLease{{Agent: "a", RestartEndsInMs: restartLease.Milliseconds(), WorkerStartedMs: 1}}, b.take().Agents)
 }
--- a/process/schedule/restored_ends_test.go
+++ b/process/schedule/restored_ends_test.go
@@ -243,7 +243,7 @@
 		require.Len(t, list.Agents, 2, "the next leader has to wait as well")
 		for i, id := range []string{"a", "b"} {
 			listed := list.Agents[i]
-			listed.ForeignEndsInMs, listed.WorkerStartedMs = 0, 0 // their workers are new to this leader
+			listed.RestartEndsInMs, listed.WorkerStartedMs = 0, 0 // their workers are new to this leader
 			require.Equal(t, AgentLease{Agent: id}, listed, "the next leader has to wait as well")
 		}
 	}
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -173,10 +173,10 @@
 // safeLeaseEnd returns the time by which all runs of an agent that its worker has executed are
 // known to have ended unless the agent reports again.
 func (t *Table) safeLeaseEnd(a *agentState) time.Time {
-	if end := t.safeGrantEnd(a); end.After(a.foreignLeaseEnd) {
+	if end := t.safeGrantEnd(a); end.After(a.restartLeaseEnd) {
 		return end
 	}
-	return a.foreignLeaseEnd
+	return a.restartLeaseEnd
 }
 
 // safeGrantEnd returns the time by which the leases that an agent has given its worker under the
--- a/process/schedule/unresolved.go
+++ b/process/schedule/unresolved.go
@@ -13,7 +13,7 @@
 type unresolvedStart struct {
 	agent string // empty: several agents have had such a run, and only time resolves them
 	run   uint32
-	end   time.Time // by which the run is known to have ended, or not to begin any more
+	end   time.Time // by which the run is known to have ended, or can no longer begin
 }
 
 // mayBeginLate reports whether a run may begin after the session of its agent has expired: its start
@@ -24,12 +24,12 @@
 }
 
 // holdUnresolved keeps a task from being placed because of a run of a silent agent, which has been
-// released. grantEnd is when the agent sent the last calls for it.
+// released. grantEnd is the latest time at which the agent may have sent calls for it.
 func (t *Table) holdUnresolved(task *taskState, agent string, run uint32, grantEnd time.Time) {
 	t.holdUntil(task, agent, run, t.lateRunEnd(grantEnd))
 }
 
-// lateRunEnd returns the time by which a run is known to have ended, or not to begin any more, whose
+// lateRunEnd returns the time by which a run is known to have ended, or to be unable to begin, whose
 // start was sent to the worker by grantEnd.
 func (t *Table) lateRunEnd(grantEnd time.Time) time.Time {
 	return SafeLeaseEnd(grantEnd.Add(t.cfg.LateCallWindow+t.cfg.MaxWorkerLease), t.cfg.MaxWorkerLease)
@@ -75,12 +75,12 @@
 	})
 }
 
-// releaseUnresolved requeues the held tasks for which over is true. Tasks that have been done or
+// releaseUnresolved requeues the held tasks for which resolved is true. Tasks that have been done or
 // whose job has ended meanwhile are held no longer either.
-func (t *Table) releaseUnresolved(now time.Time, over func(task *taskState) bool) {
+func (t *Table) releaseUnresolved(now time.Time, resolved func(task *taskState) bool) {
 	var released []*taskState
 	t.unresolvedTasks = slices.DeleteFunc(t.unresolvedTasks, func(task *taskState) bool {
-		if task.phase != taskDone && !task.step.job().state.Terminal() && !over(task) {
+		if task.phase != taskDone && !task.step.job().state.Terminal() && !resolved(task) {
 			return false
 		}
 		released = append(released, task)
