process/runs: no data race in the fake worker's late starts

Change: it writes a variable of its own, under the fake's lock. Result: the tests of restarted and late calls, five times each with -race, pass.

--- a/process/runs/fake_test.go
+++ b/process/runs/fake_test.go
@@ -203,10 +203,11 @@
 	return list, err
 }
 
-func (w *fakeWorker) Start(_ context.Context, r platform.RunRequest) (clockMs int64, err error) {
+func (w *fakeWorker) Start(_ context.Context, r platform.RunRequest) (int64, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	err = w.call("start", r.Instance, r.Token, func() error {
+	clockMs := int64(0) // a call that is executed late writes it after the return
+	err := w.call("start", r.Instance, r.Token, func() error {
 		clockMs = w.clockMs()
 		w.extend(r.LeaseUntilMs)
 		if _, there := w.running[r.RunKey]; there {
