process/lead, process/schedule, process/runs: bound starts by what is known of cancellations

A leader that is cut off from the store and from other failure domains keeps its right to order starts for lease.outage_ms (8 s) after its last transaction. Another entry leads after 1.5 s and acknowledges cancellations, of which the isolated leader cannot learn; the agents beside it still follow it. Nothing in the chain from the cancellation to the worker was measured against cancel_ms: the age limit of a start at its agent counts from the arrival of the order.

The leader now keeps the latest time for which it has all cancellations that were acknowledged before it: the start of its latest read of the inbox or, while the store fails, the latest time at which all entries that may acknowledge some still followed it. A follower returns a stamp only after its notices, and a notice that arrives while the jobs are loaded is kept. Starts are placed and ordered only while that time leaves them time to reach a worker within lease.cancel_ms; stops are always ordered. An order tells the agent for how long after its own report the starts in it may be sent, so neither a partition that holds the order up nor a frozen process extends it. While the store is down for everybody the followers go on to follow, and starts go on for lease.outage_ms as before.

--- a/bench/cluster/plan.go
+++ b/bench/cluster/plan.go
@@ -125,7 +125,7 @@
 	cfg.Process.Region, cfg.Process.FailureDomain = d.Region, d.Name
 	cfg.Process.Key = "key of the processes in one cluster"
 	if l := c.Config.Lease; l != (settings.Lease{}) {
-		l.OutageMs, l.WorkerMs = cfg.Lease.OutageMs, l.TaskMs
+		l.OutageMs, l.WorkerMs, l.CancelMs = cfg.Lease.OutageMs, l.TaskMs, cfg.Lease.CancelMs
 		cfg.Lease = l
 	}
 	if c.Config.Limits != (settings.Limits{}) {
--- a/cmd/camphorhead/main.go
+++ b/cmd/camphorhead/main.go
@@ -34,6 +34,7 @@
 type options struct {
 	Settings string        `short:"s" long:"settings" env:"CAMPHORHEAD_NODE_FILE" description:"settings file (TOML)" value-name:"FILE"`
 	Grace    time.Duration `long:"grace" default:"30s" description:"time for requests in progress when the process is told to stop"`
+	CancelMs int64         `long:"cancel-ms" description:"replaces lease.cancel_ms of an entry, in milliseconds; 0: the one in the settings file" value-name:"MS"`
 	Version  bool          `long:"version" description:"print the version and exit"`
 }
 
@@ -59,6 +60,10 @@
 		return exitSettings
 	}
 	cfg, err := settings.Load(opts.Settings)
+	if err == nil && opts.CancelMs != 0 {
+		cfg.Lease.CancelMs = opts.CancelMs
+		err = cfg.Validate()
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "camphorhead:", err)
 		return exitSettings
--- a/connection/message/runs.go
+++ b/connection/message/runs.go
@@ -160,6 +160,11 @@
 	// Adopted describes runs that the agent reported but has no orders for, as
 	// after its restart.
 	Adopted []StartRun `msgpack:"a,omitempty"`
+	// Sequence is that of the session's latest report which the leader had applied. The starts may be
+	// sent to the worker for StartWithinMs milliseconds after that report was sent, because the leader may
+	// not know later cancellations. 0: the leader is of an earlier version and sets no limit.
+	Sequence      uint64 `msgpack:"q,omitempty"`
+	StartWithinMs int64  `msgpack:"w,omitempty"`
 }
 
 // Follow subscribes an entry to the leader's updates over this connection.
--- a/integration/deployment_test.go
+++ b/integration/deployment_test.go
@@ -139,6 +139,7 @@
 		lease: settings.Lease{
 			TaskMs: taskLease.Milliseconds(), HeartbeatMs: heartbeatInterval.Milliseconds(),
 			LeaderMs: leaderTimeout.Milliseconds(), OutageMs: maxStoreOutage.Milliseconds(), WorkerMs: taskLease.Milliseconds(),
+			CancelMs: cancelGracePeriod.Milliseconds(),
 		},
 	}
 	for _, apply := range options {
--- a/integration/leaderchanges_test.go
+++ b/integration/leaderchanges_test.go
@@ -50,7 +50,7 @@
 // withDeployedLeases gives all processes the leases and call timeouts of deploy/entry.toml and
 // deploy/agent.toml. The lease of a worker is taskLease there too.
 func withDeployedLeases(d *deployment) {
-	d.lease = settings.Lease{TaskMs: 4000, HeartbeatMs: 500, LeaderMs: leaderTimeout.Milliseconds(), OutageMs: 8000, WorkerMs: taskLease.Milliseconds()}
+	d.lease = settings.Lease{TaskMs: 4000, HeartbeatMs: 500, LeaderMs: leaderTimeout.Milliseconds(), OutageMs: 8000, WorkerMs: taskLease.Milliseconds(), CancelMs: cancelGracePeriod.Milliseconds()}
 	d.callTimeout = 700 * time.Millisecond
 }
 
--- a/integration/link_test.go
+++ b/integration/link_test.go
@@ -155,6 +155,15 @@
 	l.addToxic(t, "freeze", direction, fmt.Sprintf(`{"until":%d,"deliver":%d}`, now.Add(freezeWindow).UnixMilli(), now.Add(d).UnixMilli()))
 }
 
+// hold buffers what is sent in both directions, also on connections that are opened meanwhile, and
+// delivers it after d, as a partition between two hosts does.
+func (l *link) hold(t *testing.T, d time.Duration) {
+	until := time.Now().Add(d).UnixMilli()
+	for _, direction := range []string{sent, received} {
+		l.addToxic(t, "freeze", direction, fmt.Sprintf(`{"until":%d,"deliver":%d}`, until, until))
+	}
+}
+
 // delay adds a one-way delay in both directions.
 func (l *link) delay(t *testing.T, d time.Duration) {
 	for _, stream := range []string{sent, received} {
--- a/process/entry/node.go
+++ b/process/entry/node.go
@@ -39,7 +39,7 @@
 		Timing: lead.Timing{
 			Lease: l.Task(), MaxWorkerLease: l.WorkerMax(), ReportInterval: l.Heartbeat(), LeaderTimeout: l.Leader(), Outage: l.Outage(),
 			Retention: e.cfg.Records.Retention(), NeverFitsDelay: neverFitsDelay, CheckpointInterval: e.cfg.Records.Checkpoint(),
-			MaxOver:        e.cfg.Interference.MaxOver(),
+			MaxOver: e.cfg.Interference.MaxOver(), CancelBound: l.Cancel(),
 			CommitInterval: e.cfg.Records.Commit(), CallTimeout: e.cfg.Limits.CallTimeout(),
 			ModelInterval: e.cfg.Scheduling.ModelInterval(),
 			ClaimDelay:    time.Duration(float64(fullProcessorClaimDelay) / e.cfg.Limits.ProcessorShare()), StoreLatencyFactor: storeLatencyFactor,
--- a/process/event/catalogue.go
+++ b/process/event/catalogue.go
@@ -68,6 +68,8 @@
 	{RestoredTasksRequeued, "restored_tasks_requeued", Info, "held tasks of earlier terms may be placed again", withUnits("term tasks lapsed wait_ms"), "Nothing. lapsed is the number of agents that have not reported."},
 	{ModelLoaded, "model_loaded", Info, "leader has read what an earlier one has learned", withUnits("term age_ms pairings kinds received_bytes"), noAction},
 	{ModelNotRecorded, "model_not_recorded", Info, "what the leader has learned could not be recorded or read", withUnits("term operation error"), "If it repeats, check the store. The leader learns anew."},
+	{StartsHeld, "starts_held", Error, "leader orders no starts, because it may have missed cancellations", withUnits("term age_ms"), "Check the store and the network around this entry. Running tasks go on. age_ms is the time since which cancellations may be missing."},
+	{StartsResumed, "starts_resumed", Info, "leader orders starts again", withUnits("term"), noAction},
 }
 
 var configurationEvents = []Definition{
--- a/process/event/id.go
+++ b/process/event/id.go
@@ -51,6 +51,8 @@
 	RestoredTasksRequeued
 	ModelLoaded
 	ModelNotRecorded
+	StartsHeld
+	StartsResumed
 )
 
 // Configuration: 4000 to 4999.
--- /dev/null
+++ b/process/lead/cancellations_test.go
@@ -0,0 +1,228 @@
+package lead
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"camphorhead.example/camphorhead/connection/message"
+	"camphorhead.example/camphorhead/process/platform"
+	"camphorhead.example/camphorhead/process/schedule"
+	"camphorhead.example/camphorhead/request/resources"
+	"camphorhead.example/camphorhead/version/profile"
+)
+
+const testCancelBound = 3 * time.Second
+
+// minOrderedTime is less than what an order must leave of testCancelBound.
+const minOrderedTime = 300 * time.Millisecond
+
+// switchedStore is a store that accepts no transaction and lists no change while off is set, which may
+// change while the leader calls it.
+type switchedStore struct {
+	*memoryStore
+	off atomic.Bool
+}
+
+func (s *switchedStore) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	if s.off.Load() {
+		return 0, platform.ErrUnavailable
+	}
+	return s.memoryStore.Commit(ctx, txn)
+}
+
+func (s *switchedStore) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+	if s.off.Load() {
+		return nil, 0, platform.ErrUnavailable
+	}
+	return s.memoryStore.Changes(ctx, prefix, after, wait)
+}
+
+// cancelRig is a leader that bounds starts after a cancellation, with one follower and one agent.
+type cancelRig struct {
+	t        *testing.T
+	clock    *clockwork.FakeClock
+	store    *memoryStore
+	cut      *switchedStore // the store as the leader reaches it
+	l        *leaderTerm
+	follower *Node
+	agent    *agentLink
+	sequence uint64
+	jobs     int
+}
+
+func newCancelRig(t *testing.T) *cancelRig {
+	t.Helper()
+	r := &cancelRig{t: t, clock: clockwork.NewFakeClockAt(time.Now()), store: newMemoryStore(t)}
+	r.cut = &switchedStore{memoryStore: r.store}
+	n := newProcess(t, "one", r.cut, r.clock)
+	n.cfg.Timing.CancelBound = testCancelBound
+	n.cfg.Profile = func(string) (profile.Profile, bool) { return profile.Profile{Service: "s", MaxAttempts: 3}, true }
+	n.cfg.Teams = func() map[string]profile.Team { return nil }
+	r.l = claimTerm(t, listen(t, n))
+	r.l.table.SetRegistered(schedule.AgentLeases{Agents: []schedule.AgentLease{{Agent: testAgent}}})
+	r.follower = listen(t, newProcess(t, "two", r.store, r.clock))
+	follow(t, r.follower, r.l)
+	r.agent = connectAgent(t, r.l.node)
+	r.report()
+	for range 8 {
+		r.advance(500*time.Millisecond, true)
+	}
+	return r
+}
+
+func (r *cancelRig) report() {
+	r.t.Helper()
+	r.sequence++
+	require.NotZero(r.t, r.agent.report(r.t, 1, r.sequence, r.sequence == 1).LeaseMs)
+}
+
+// advance lets time pass, after which the leader reads the inbox, the agent reports and the follower, if
+// it reaches the leader, returns the stamp of an update.
+func (r *cancelRig) advance(d time.Duration, follows bool) {
+	r.t.Helper()
+	r.clock.Advance(d)
+	sent := r.clock.Now()
+	if follows {
+		r.l.sendUpdates(true)
+		require.Eventually(r.t, func() bool {
+			r.follower.followLeader(r.clock.Now())
+			r.l.mu.Lock()
+			defer r.l.mu.Unlock()
+			return !r.l.mu.acknowledgers["two"].followedAt.Before(sent)
+		}, 10*time.Second, 100*time.Microsecond)
+	}
+	_ = r.l.pollInbox(r.t.Context())
+	r.report()
+	r.l.updateCancellationsKnown(r.clock.Now())
+}
+
+// ordersStart accepts a job and reports whether its start is ordered.
+func (r *cancelRig) ordersStart() (o message.Orders, ordered bool) {
+	r.t.Helper()
+	r.jobs++
+	def := testJob(fmt.Sprint("j", r.jobs))
+	def.Steps[0].Need = resources.Resources{MilliCPU: 10, MemoryMB: 10} // the worker has room for all jobs of a test
+	require.True(r.t, r.l.table.Accept(r.clock.Now(), def, r.l.number, false))
+	r.l.dispatch()
+	wait := 10 * time.Second
+	if !r.l.table.MayOrderStarts(r.clock.Now()) {
+		wait = 20 * time.Millisecond
+	}
+	for deadline := time.After(wait); ; {
+		select {
+		case o = <-r.agent.orders:
+			if len(o.Starts) > 0 {
+				return o, true
+			}
+		case <-deadline:
+			return o, false
+		}
+	}
+}
+
+// Guards against starts of cancelled jobs by a leader that reaches neither the store nor the entries that
+// acknowledge cancellations, until its term would end (review, case 7), and against a leader that orders
+// nothing while the store is down for everybody.
+func TestIsolatedLeaderOrdersNoStarts(t *testing.T) {
+	r := newCancelRig(t)
+	o, ordered := r.ordersStart()
+	require.True(t, ordered)
+	require.Equal(t, r.sequence, o.Sequence)
+	require.Greater(t, o.StartWithinMs, testCancelBound.Milliseconds()*9/10)
+	require.Less(t, o.StartWithinMs, testCancelBound.Milliseconds())
+
+	r.cut.off.Store(true)
+	for range 5 {
+		r.advance(500*time.Millisecond, true)
+		_, ordered = r.ordersStart()
+		require.True(t, ordered, "the followers would have told of a cancellation")
+	}
+	lastFollowed := r.clock.Now()
+	for r.clock.Since(lastFollowed) < testTiming.Outage {
+		r.advance(100*time.Millisecond, false)
+		if o, ordered = r.ordersStart(); !ordered {
+			break
+		}
+		end := r.clock.Now().Add(time.Duration(o.StartWithinMs) * time.Millisecond)
+		require.False(t, end.After(lastFollowed.Add(testCancelBound)), "a start may begin too late after a cancellation")
+	}
+	require.False(t, ordered, "the follower may have acknowledged a cancellation")
+	require.Greater(t, r.clock.Since(lastFollowed), testCancelBound/2, "starts end too early")
+
+	r.advance(100*time.Millisecond, true)
+	_, ordered = r.ordersStart()
+	require.True(t, ordered, "the follower is back")
+	r.advance(testCancelBound-minOrderedTime, false)
+	_, ordered = r.ordersStart()
+	require.False(t, ordered)
+	r.cut.off.Store(false)
+	r.advance(time.Millisecond, false)
+	_, ordered = r.ordersStart()
+	require.True(t, ordered, "the inbox has been read")
+}
+
+// Guards against a leader that holds back stops along with the starts.
+func TestIsolatedLeaderOrdersStops(t *testing.T) {
+	r := newCancelRig(t)
+	_, ordered := r.ordersStart()
+	require.True(t, ordered)
+	r.cut.off.Store(true)
+	r.advance(testCancelBound, false)
+	r.l.cancel("j1", "caller")
+	r.l.dispatch()
+	require.Eventually(t, func() bool {
+		select {
+		case o := <-r.agent.orders:
+			return len(o.Stops) == 1
+		default:
+			return false
+		}
+	}, 10*time.Second, time.Millisecond)
+}
+
+// Guards against a start that is held back and ordered although its job was cancelled meanwhile.
+func TestHeldStartOfACancelledJobIsNotOrdered(t *testing.T) {
+	r := newCancelRig(t)
+	r.cut.off.Store(true)
+	r.advance(testCancelBound, false)
+	_, ordered := r.ordersStart()
+	require.False(t, ordered)
+	r.l.cancel("j1", "store")
+	r.cut.off.Store(false)
+	r.advance(time.Millisecond, false)
+	o, ordered := r.ordersStart()
+	require.True(t, ordered)
+	require.Len(t, o.Starts, 1)
+	require.Equal(t, "j2", o.Starts[0].Key.Task.Job)
+}
+
+// Guards against a leader that takes its followers' word before entries which follow the leader of an
+// earlier term have learned of its own, and against one that waits for good for an entry that is gone.
+func TestFollowersCountAfterAllEntriesKnowTheTerm(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := claimTerm(t, newProcess(t, "one", newMemoryStore(t), clock))
+	limit := testTiming.uninformedLimit()
+	clock.Advance(limit / 2)
+	require.Equal(t, l.begun, l.cancellationsKnownAt(clock.Now()))
+	clock.Advance(limit / 2)
+	l.recordInboxRead(clock.Now())
+	clock.Advance(time.Second)
+	require.Equal(t, clock.Now(), l.cancellationsKnownAt(clock.Now()), "no other entry acknowledges cancellations")
+
+	l.recordAcknowledger("two")
+	require.Equal(t, clock.Now().Add(-time.Second), l.cancellationsKnownAt(clock.Now()), "it has followed no update yet")
+	clock.Advance(limit)
+	l.recordInboxRead(clock.Now())
+	clock.Advance(time.Second)
+	require.Equal(t, clock.Now().Add(-time.Second), l.cancellationsKnownAt(clock.Now()), "it may still acknowledge some")
+	clock.Advance(limit / 10)
+	l.recordInboxRead(clock.Now())
+	clock.Advance(time.Second)
+	require.Equal(t, clock.Now(), l.cancellationsKnownAt(clock.Now()), "it acknowledges nothing without the leader")
+}
--- a/process/lead/candidates.go
+++ b/process/lead/candidates.go
@@ -36,7 +36,8 @@
 	return l.node.cfg.Clock.Now().Sub(l.begun).Nanoseconds() + 1 // 0 means none
 }
 
-// recordFollowing records that a follower has begun no newer term when it received the stamp.
+// recordFollowing records that a follower had begun no newer term, and had notified this leader of all
+// cancellations that it had acknowledged, when it received the stamp.
 // The time of arrival shows less: the message may have been on its way, or this process
 // paused, while the follower began the next term. It returns the address of the follower; empty if
 // the connection is not that of one.
@@ -49,11 +50,15 @@
 		return ""
 	}
 	f.receivedAt = now
-	c, isCandidate := l.mu.candidates[f.Entry.ID]
-	if at := l.begun.Add(time.Duration(stamp - 1)); isCandidate && stamp > 0 && at.After(c.followedAt) && !at.After(now) {
+	at := l.begun.Add(time.Duration(stamp - 1))
+	if stamp <= 0 || at.After(now) {
+		return f.Entry.Address
+	}
+	if c, isCandidate := l.mu.candidates[f.Entry.ID]; isCandidate && at.After(c.followedAt) {
 		c.followedAt = at
 		l.mu.candidates[f.Entry.ID] = c
 	}
+	l.recordFollowed(conn, at)
 	return f.Entry.Address
 }
 
--- a/process/lead/handle.go
+++ b/process/lead/handle.go
@@ -72,7 +72,10 @@
 		}
 		return
 	}
-	l.addCandidate(f) // before the reply, from which on the entry may claim the next term after a timeout
+	// Before the reply, from which on the entry may claim the next term after a timeout, and acknowledges
+	// cancellations as a follower.
+	l.addCandidate(f)
+	l.recordAcknowledger(f.Entry.ID)
 	r.Reply(message.FollowReply{Term: l.number, Leading: true})
 	n.mu.Lock()
 	n.knownEntries[f.Entry.ID] = f.Entry
@@ -114,9 +117,14 @@
 }
 
 func (n *Node) handleCancelled(_ peer.Request, c *message.JobRef) {
-	if l := n.loadedTerm(); l != nil { // else the entry repeats the notice
+	switch l := n.ownTerm.Load(); {
+	case l == nil: // the entry repeats the notice
+	case l.loaded.Load():
 		l.cancel(c.Job, "entry")
 		l.dispatch()
+	default:
+		// The entry's next stamp tells that the notice has arrived, so it is kept until the jobs are loaded.
+		n.keepNotice(cancelledKey(c.Job), message.KindCancelled, c)
 	}
 }
 
--- a/process/lead/inbox.go
+++ b/process/lead/inbox.go
@@ -18,7 +18,8 @@
 func (l *leaderTerm) pollInbox(ctx context.Context) error {
 	l.mu.Lock()
 	after := l.mu.inboxRevision
-	l.mu.inboxReadAt = l.node.cfg.Clock.Now()
+	began := l.node.cfg.Clock.Now()
+	l.mu.inboxReadAt = began
 	l.mu.Unlock()
 	in, err := l.writer.Inbox(ctx, after)
 	if errors.Is(err, platform.ErrCompacted) {
@@ -38,6 +39,8 @@
 	l.mu.Lock()
 	l.mu.inboxRevision = max(l.mu.inboxRevision, in.Revision)
 	l.mu.Unlock()
+	l.recordInboxRead(began)
+	l.updateCancellationsKnown(l.node.cfg.Clock.Now())
 	l.dispatch()
 	return nil
 }
--- a/process/lead/leader_conn.go
+++ b/process/lead/leader_conn.go
@@ -23,6 +23,9 @@
 	// of its stamps, reportedStamp the latest returned.
 	reportedAt           time.Time
 	stamp, reportedStamp int64
+	// noticeDropped is set if a notice of a cancellation was not kept. No stamp is returned from then on:
+	// the leader learns of that cancellation from the store.
+	noticeDropped bool
 }
 
 // notice is a message to the leader, repeated until one of its updates shows the effect, or until it
@@ -69,11 +72,18 @@
 		if c.stamp > c.reportedStamp || now.Sub(c.reportedAt) >= n.cfg.Timing.LeaderTimeout/heartbeatsPerTimeout {
 			c.reportedAt, c.reportedStamp = now, c.stamp
 			following = &message.Following{Term: c.term, Stamp: c.stamp}
+			if c.noticeDropped {
+				following.Stamp = 0
+			}
 		}
 	} else {
 		n.leaderReady.Store(false)
 	}
 	n.mu.Unlock()
+	for _, pending := range due {
+		_ = c.conn.Notify(pending.kind, pending.body) // repeated until an update shows its effect
+	}
+	// After the notices: a stamp also tells the leader that it has all cancellations from before it.
 	if following != nil {
 		following.Config = n.cfg.ConfigState()
 		_ = conn.Notify(message.KindFollowing, following) // the next one replaces a lost one
@@ -84,9 +94,6 @@
 		}
 		n.dial(c)
 	}
-	for _, pending := range due {
-		_ = c.conn.Notify(pending.kind, pending.body) // repeated until an update shows its effect
-	}
 }
 
 // dueNotices returns the notices that are due and marks them as sent. The caller holds mu.
@@ -171,12 +178,14 @@
 	now := n.cfg.Clock.Now()
 	pending := &notice{kind: kind, body: body, createdAt: now, sentAt: now}
 	n.mu.Lock()
-	if len(n.notices) < maxNotices {
+	kept := len(n.notices) < maxNotices
+	if kept {
 		n.notices[key] = pending
 	}
 	var conn *peer.Conn
 	if n.leader != nil {
 		conn = n.leader.conn
+		n.leader.noticeDropped = n.leader.noticeDropped || !kept && kind == message.KindCancelled
 	}
 	n.mu.Unlock()
 	if conn != nil {
@@ -184,6 +193,15 @@
 	}
 }
 
+// keepNotice keeps a notice that has arrived before this process had loaded the jobs of its term.
+func (n *Node) keepNotice(key string, kind message.Kind, body any) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.notices) < maxNotices {
+		n.notices[key] = &notice{kind: kind, body: body, createdAt: n.cfg.Clock.Now()}
+	}
+}
+
 // applyUpdate applies an update of the leader and pulls its configuration if that is newer.
 func (n *Node) applyUpdate(u *message.Update) {
 	now := n.cfg.Clock.Now()
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -56,6 +56,8 @@
 	agentsReached atomic.Bool   // at least half of the known agents were once reachable in this term
 	resigning     atomic.Bool   // the term is being resigned: isolated from agents and entries
 	closing       atomic.Bool   // the term is being handed over
+	startsHeld    atomic.Bool   // cancellations may be missing, so no starts are ordered
+	isolated      atomic.Bool   // cancellations may have been missing for the leader timeout: another term may have begun
 	previousEnded atomic.Bool   // the leader of the previous term grants leases no more
 	heartbeat     atomic.Uint64 // number of the last one that the store has confirmed
 
@@ -71,8 +73,9 @@
 	// candidates are the entries that may claim the next term, by id. They stay when their
 	// connection closes.
 	candidates     map[string]candidate
-	entriesVersion uint64            // number of changes of the followers
-	entriesSent    map[string]uint64 // entriesVersion last sent to each agent, by id
+	acknowledgers  map[string]acknowledger // by id of the entry
+	entriesVersion uint64                  // number of changes of the followers
+	entriesSent    map[string]uint64       // entriesVersion last sent to each agent, by id
 	// validUntil is when the right to grant leases expires: Timing.Outage after the start of
 	// the last confirmed transaction, or of the term.
 	validUntil        time.Time
@@ -83,6 +86,7 @@
 	inboxReadAt       time.Time // start of the last poll of the inbox
 	evacuationsReadAt time.Time // start of the last read
 	inboxRevision     uint64    // revision up to which the inbox has been read
+	inboxKnownAt      time.Time // start of the latest read of the inbox that was successful
 	purgedAt          time.Time // start of the last purge
 	modelRecordedAt   time.Time // start of the last record of the model, or of the term
 	modelVersion      uint64    // of the model that the store is known to contain; 0: none of this term
@@ -121,7 +125,7 @@
 	l := &leaderTerm{node: n, number: view.Term}
 	l.table = schedule.New(schedule.Config{
 		Clock: n.cfg.Clock, Log: n.cfg.Log, Meter: n.cfg.Metrics, Term: view.Term, Lease: n.cfg.Timing.Lease,
-		MaxWorkerLease: n.cfg.Timing.MaxWorkerLease, LateCallWindow: platform.LateCallWindow,
+		MaxWorkerLease: n.cfg.Timing.MaxWorkerLease, LateCallWindow: platform.LateCallWindow, CancelBound: n.cfg.Timing.CancelBound,
 		ReportInterval: n.cfg.Timing.ReportInterval, Retention: n.cfg.Timing.Retention, NeverFitsDelay: n.cfg.Timing.NeverFitsDelay,
 		Guard:              interference.Guard{MaxOver: n.cfg.Timing.MaxOver},
 		Features:           n.cfg.Features,
@@ -131,6 +135,7 @@
 	l.mu.Mutex = lockrank.NewMutex(lockrank.RankSessions)
 	l.mu.sessions, l.mu.followers = map[string]agentSession{}, map[*peer.Conn]*follower{}
 	l.mu.candidates, l.mu.entriesSent = map[string]candidate{}, map[string]uint64{}
+	l.mu.acknowledgers = map[string]acknowledger{}
 	l.mu.previous = previous
 	l.mu.heartbeatRevision = view.HeartbeatRevision
 	l.heartbeat.Store(view.Heartbeat.Number)
@@ -144,8 +149,9 @@
 // tick does the periodic work; before the jobs are loaded it only sends heartbeats.
 func (l *leaderTerm) tick(_ context.Context, now time.Time) {
 	if !l.loaded.Load() {
+		interval := l.updateInterval()
 		l.mu.Lock()
-		due := now.Sub(l.mu.lastUpdate) >= l.node.cfg.Timing.LeaderTimeout/heartbeatsPerTimeout
+		due := now.Sub(l.mu.lastUpdate) >= interval
 		l.mu.Unlock()
 		if due {
 			l.sendUpdates(true)
@@ -153,10 +159,12 @@
 		return
 	}
 	l.table.Tick(now)
+	l.updateCancellationsKnown(now)
 	l.dispatch()
+	interval := l.updateInterval()
 	l.mu.Lock()
 	leaderTimeout := l.node.cfg.Timing.LeaderTimeout
-	updateDue := now.Sub(l.mu.lastUpdate) >= leaderTimeout/heartbeatsPerTimeout
+	updateDue := now.Sub(l.mu.lastUpdate) >= interval
 	inboxDue := now.Sub(l.mu.inboxReadAt) >= inboxInterval
 	purgeDue := now.Sub(l.mu.purgedAt) >= purgeInterval
 	modelInterval := l.node.cfg.Timing.ModelInterval
--- a/process/lead/load.go
+++ b/process/lead/load.go
@@ -18,6 +18,7 @@
 // never lead where they are many.
 func (l *leaderTerm) load(ctx context.Context) error {
 	model := l.beginModelRead()
+	began := l.node.cfg.Clock.Now()
 	jobs, revision, unreadable, err := l.writer.Load(ctx)
 	if err != nil {
 		return err
@@ -47,6 +48,7 @@
 	l.table.Restore(now, unfinished, leases)
 	l.table.RestoreUnresolved(now, list.Unresolved)
 	l.table.RestoreEnded(ended)
+	l.recordInboxRead(began)
 	wait, reason := longestWait(now, leases), "earlier leaders may still grant leases"
 	switch {
 	case list.Closed && list.Term == l.number-1:
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -44,6 +44,9 @@
 	// it is made durable only along with other changes.
 	CheckpointInterval time.Duration
 	MaxOver            time.Duration // how long filling tasks may keep a serving task over its latency target
+	// CancelBound is the time after the response to a cancellation by which no task of the job starts
+	// any more; 0: there is no bound.
+	CancelBound time.Duration
 	// CommitInterval is the least time between two transactions of the leader, so that one
 	// carries all ends of tasks of that time.
 	CommitInterval time.Duration
--- a/process/runs/announcements_test.go
+++ b/process/runs/announcements_test.go
@@ -43,7 +43,7 @@
 func TestAdmittedRunsAreNotStartedAtTheNextInstance(t *testing.T) {
 	r := newRig(t)
 	r.poll(r.node)
-	c := r.node.admitOrders(ordersFor(runsOf("j", 4)...))
+	c := r.node.admitOrders(ordersFor(runsOf("j", 4)...), time.Time{})
 	require.Len(t, c.starts, 4)
 	r.worker.restart()
 	r.announce(r.node, smallCapacity, 1)
--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -20,9 +20,9 @@
 	startRetryDelay   = 30 * time.Millisecond
 	stopRetryInterval = 300 * time.Millisecond // until a stop is sent again if the end is not listed
 	maxDialAttempts   = 5                      // of a start that the worker cannot have received yet
-	// maxStartAge is how long after its order a start may be sent. The job may have
-	// been cancelled in the meantime by a leader that this agent cannot reach, and
-	// none of its tasks may start more than 3 s after the cancellation.
+	// maxStartAge is how long after its admission a start may be sent, so that an order of a leader
+	// which has been replaced, or evacuated the failure domain since, does not wait for the worker. The
+	// bound after a cancellation is run.startBy.
 	maxStartAge = 1500 * time.Millisecond
 )
 
@@ -187,13 +187,14 @@
 }
 
 // startObsolete reports whether the start of an unconfirmed run must no longer be sent: it is to
-// stop, its order is too old, or another worker instance has taken the place of the one by whose
+// stop, its order is too old, the job may have been cancelled for too long, or another worker instance has taken the place of the one by whose
 // capacity it was admitted.
 func (n *Node) startObsolete(r *run) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := n.cfg.Clock.Now()
 	return n.runs[r.order.Key] == r && r.confirmedAt.IsZero() &&
-		(r.stopping || r.instanceStartMs != n.instanceStartMs || n.cfg.Clock.Since(r.startedAt) > maxStartAge)
+		(r.stopping || r.instanceStartMs != n.instanceStartMs || now.Sub(r.startedAt) > maxStartAge || startTooLate(now, r.startBy))
 }
 
 // cancelStart ensures that an unconfirmed run never starts or is stopped: after a stop, the
--- a/process/runs/fake_test.go
+++ b/process/runs/fake_test.go
@@ -365,4 +365,4 @@
 }
 
 // applyOrdersUnchecked executes orders of any session.
-func (n *Node) applyOrdersUnchecked(o *message.Orders) { n.sendCalls(n.admitOrders(o)) }
+func (n *Node) applyOrdersUnchecked(o *message.Orders) { n.sendCalls(n.admitOrders(o, time.Time{})) }
--- a/process/runs/leader_client.go
+++ b/process/runs/leader_client.go
@@ -45,7 +45,8 @@
 	nextEntry       int       // index of the entry to query next, modulo len(entries)
 	searchedAt      time.Time // when the latest search began; zero: search at the next tick
 	sentAt          time.Time
-	leasePending    bool // the leader has accepted the latest report, and its lease is pending
+	sentReports     []sentReport // latest ones of the session, at most maxSentReports
+	leasePending    bool         // the leader has accepted the latest report, and its lease is pending
 	droppedAt       time.Time
 	droppedAddress  string
 	conn            *peer.Conn       // of the session; nil until its first report
@@ -53,6 +54,16 @@
 	summarySentAt   time.Time
 }
 
+// sentReport is when a report of the session was sent.
+type sentReport struct {
+	sequence uint64
+	at       time.Time
+}
+
+// maxSentReports is above the number of reports to which orders that are on their way may refer: each
+// report waits for the reply to the one before.
+const maxSentReports = 8
+
 func newLeaderClient(n *Node) leaderClient {
 	return leaderClient{
 		node: n, mu: lockrank.NewMutex(lockrank.RankSessions), nextFull: true,
@@ -217,6 +228,7 @@
 	l.session++
 	l.sequence, l.lastSerial, l.nextFull, l.moreEnds = 0, 0, true, false
 	l.conn, l.acceptedSummary, l.leasePending = nil, nil, false
+	l.sentReports = nil
 }
 
 // renewSession begins a session with the same leader: its full report lists exactly the runs
@@ -298,6 +310,8 @@
 	defer l.mu.Unlock()
 	l.sequence++
 	l.sentAt = now
+	l.sentReports = append(l.sentReports, sentReport{l.sequence, now})
+	l.sentReports = l.sentReports[max(len(l.sentReports)-maxSentReports, 0):]
 	r := &message.Report{
 		Agent: l.node.cfg.ID, Address: l.node.cfg.Address(), Location: l.node.cfg.Location,
 		Session: l.session, Sequence: l.sequence, Term: l.term, Full: l.nextFull, ConfigVersion: l.node.cfg.ConfigVersion(),
--- a/process/runs/node.go
+++ b/process/runs/node.go
@@ -162,6 +162,7 @@
 	state                message.RunState
 	reported             message.RunState // state in the latest report that included the run
 	startedAt            time.Time        // when it was admitted or, if not ordered here, first listed
+	startBy              time.Time        // until when its start may be sent to the worker; zero: the leader has set no limit
 	instanceStartMs      int64            // instance by whose capacity it was admitted
 	confirmationReported bool
 	evictionCause        job.EvictionCause // why this agent stops the run; empty: the leader ordered it
--- a/process/runs/orders.go
+++ b/process/runs/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
@@ -16,6 +17,21 @@
 	return o.Session == l.session && o.Term >= l.term && !l.nextFull
 }
 
+// startBy returns the time until which the starts of orders may be sent to the worker; zero: the leader
+// sets no limit. It has passed if the orders refer to a report that is too old to be known. The caller
+// holds mu.
+func (l *leaderClient) startBy(o *message.Orders) time.Time {
+	if o.Sequence == 0 {
+		return time.Time{}
+	}
+	for _, r := range l.sentReports {
+		if r.sequence == o.Sequence {
+			return r.at.Add(time.Duration(o.StartWithinMs) * time.Millisecond)
+		}
+	}
+	return l.node.cfg.Clock.Now().Add(-1)
+}
+
 // Handle serves orders of the leader. It reports false, and leaves the request
 // unhandled, for any other kind of message.
 func (n *Node) Handle(_ context.Context, r peer.Request) bool {
@@ -41,7 +57,7 @@
 		n.cfg.Metrics.Add(metrics.OrdersOutdated, 1)
 		return
 	}
-	c := n.admitOrders(o)
+	c := n.admitOrders(o, n.leader.startBy(o))
 	n.leader.mu.Unlock()
 	n.markRecorded(o.Recorded, o.Session)
 	n.sendCalls(c)
@@ -54,8 +70,8 @@
 	refused bool         // there are refusals to report
 }
 
-// admitOrders applies orders to the table of runs and returns the calls to make.
-func (n *Node) admitOrders(o *message.Orders) (c pendingCalls) {
+// admitOrders applies orders to the table of runs and returns the calls to make. For startBy, see run.
+func (n *Node) admitOrders(o *message.Orders, startBy time.Time) (c pendingCalls) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for i := range o.Inputs {
@@ -67,7 +83,7 @@
 		n.adopt(&o.Adopted[i])
 	}
 	for i := range o.Starts {
-		if r := n.admit(&o.Starts[i]); r != nil {
+		if r := n.admit(&o.Starts[i], startBy); r != nil {
 			c.starts = append(c.starts, r)
 		}
 	}
@@ -110,14 +126,17 @@
 // admit adds an ordered run to the table if there is capacity for it, else it records a
 // refusal. It returns nil if there is nothing to start, also for a run that is in the table
 // already. The caller holds mu.
-func (n *Node) admit(o *message.StartRun) *run {
+func (n *Node) admit(o *message.StartRun, startBy time.Time) *run {
 	if n.runs[o.Key] != nil {
 		return nil
 	}
 	reason, label := "", ""
+	now := n.cfg.Clock.Now()
 	switch _, hasInput := n.inputs[o.Key.Task.Job]; {
 	case !hasInput:
 		reason = message.RefusedInput
+	case startTooLate(now, startBy):
+		reason = "the order is too old"
 	case n.worker.Draining || n.plannedStop:
 		reason = "draining"
 	case !n.isAnnounced():
@@ -140,14 +159,16 @@
 		n.unreportedChange = true
 		return nil
 	}
-	now := n.cfg.Clock.Now()
-	r := &run{order: *o, known: true, startedAt: now, instanceStartMs: n.instanceStartMs}
+	r := &run{order: *o, known: true, startedAt: now, startBy: startBy, instanceStartMs: n.instanceStartMs}
 	r.state = message.RunState{Key: o.Key, Checkpoint: o.Checkpoint, PacePct: fullPace}
 	r.paceKnown = true
 	n.runs[o.Key] = r
 	return r
 }
 
+// startTooLate reports whether a start may no longer be sent; a zero startBy sets no limit.
+func startTooLate(now, startBy time.Time) bool { return !startBy.IsZero() && now.After(startBy) }
+
 // reserve reserves the capacity for a start in the ledger. The caller holds mu.
 func (n *Node) reserve(o *message.StartRun) error {
 	if n.cfg.Reserve != nil {
--- a/process/runs/runs_test.go
+++ b/process/runs/runs_test.go
@@ -367,7 +367,7 @@
 	r.node.admitOrders(&message.Orders{
 		Inputs: []message.JobInput{{Job: "j", Input: []byte("input")}},
 		Starts: []message.StartRun{{Key: k, Need: testNeed, Charge: testNeed}},
-	})
+	}, time.Time{})
 	list, err := r.worker.Hold(t.Context(), platform.HoldRequest{Token: r.node.token})
 	require.NoError(t, err)
 	r.clock.Advance(time.Millisecond)
--- a/process/schedule/orders.go
+++ b/process/schedule/orders.go
@@ -8,10 +8,10 @@
 	"camphorhead.example/camphorhead/connection/message"
 )
 
-// takeOrders returns the unsent orders and clears them. The start orders of an agent wait while
-// the link to its region does not admit them, those that have waited longest are sent first; all
-// other orders are sent at once.
-func (t *Table) takeOrders() []AgentOrders {
+// takeOrders returns the unsent orders and clears them. The start orders of an agent wait unless
+// mayStart is set and while the link to its region does not admit them, those that have waited longest
+// are sent first; all other orders are sent at once.
+func (t *Table) takeOrders(mayStart bool) []AgentOrders {
 	var due []*agentState
 	for _, a := range t.agents {
 		if len(a.pendingStarts) > 0 || len(a.pendingStops) > 0 || len(a.pendingAdopted) > 0 {
@@ -24,7 +24,7 @@
 	var list []AgentOrders
 	for _, a := range due {
 		starts := a.pendingStarts
-		if t.cfg.AdmitLink != nil && len(starts) > 0 && !t.cfg.AdmitLink(a.location.Region, a.pendingStartBytes()) {
+		if len(starts) > 0 && (!mayStart || !t.linkAdmits(a)) {
 			a.pendingStarts = nil // the worker's capacity stays reserved for the runs meanwhile
 			list = append(list, t.takeAgentOrders(a)...)
 			a.pendingStarts = starts
@@ -35,6 +35,11 @@
 	return list
 }
 
+// linkAdmits takes the bytes of the unsent starts of an agent from the budget of the link to its region.
+func (t *Table) linkAdmits(a *agentState) bool {
+	return t.cfg.AdmitLink == nil || t.cfg.AdmitLink(a.location.Region, a.pendingStartBytes())
+}
+
 // MarkUnsent records that orders could not be sent, so that the runs in them cannot begin. Their
 // tasks are requeued with the agent's next full report, or at once when its session expires.
 func (t *Table) MarkUnsent(o *AgentOrders) {
@@ -70,6 +75,9 @@
 	if len(a.pendingStarts) == 0 && len(a.pendingStops) == 0 && len(a.pendingAdopted) == 0 {
 		return nil
 	}
+	if t.cfg.CancelBound > 0 && len(a.pendingStarts) > 0 {
+		first.Orders.Sequence, first.Orders.StartWithinMs = a.sequence, t.startWithinMs(a)
+	}
 	list, size := []AgentOrders{first}, 0
 	reserve := func(bytes int) *message.Orders {
 		if size > 0 && size+bytes > maxOrdersBytes {
--- a/process/schedule/place.go
+++ b/process/schedule/place.go
@@ -53,16 +53,18 @@
 
 // Dispatch runs a scheduling pass if a change since the previous one allows new
 // placements, and returns the unsent orders of all agents; one with many has several entries.
+// While cancellations may be missing, it places nothing and holds back unsent starts.
 func (t *Table) Dispatch(now time.Time) []AgentOrders {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
 		return nil
 	}
-	if t.needsPass && (len(t.ready) > 0 || t.departing.any()) && !now.Before(t.passNotBefore) {
+	mayStart := t.mayOrderStarts(now)
+	if mayStart && t.needsPass && (len(t.ready) > 0 || t.departing.any()) && !now.Before(t.passNotBefore) {
 		t.pass(now)
 	}
-	return t.takeOrders()
+	return t.takeOrders(mayStart)
 }
 
 func (t *Table) pass(now time.Time) {
--- a/process/schedule/table.go
+++ b/process/schedule/table.go
@@ -69,6 +69,9 @@
 	// CheckpointInterval is the shortest time between two writes of the checkpoint of a
 	// running task with a request; 0: it is written only along with other changes.
 	CheckpointInterval time.Duration
+	// CancelBound is the time after the response to a cancellation by which no task of the job starts
+	// any more; 0: there is no bound.
+	CancelBound time.Duration
 	// Guard bounds how long filling tasks may keep a serving task over its target.
 	Guard    interference.Guard
 	Features Features
@@ -139,18 +142,20 @@
 	termConfirmedAt        time.Time
 	termConfirmedBy        Confirmation
 	awaitsTermConfirmation bool // the expiry of a session waits for ConfirmTerm
-	startTracker           startTracker
-	idle                   idleTracker
-	backlog                backlog
-	shares                 *fairness.Shares
-	quotas                 quotas
-	departing              departures
-	pairings               *interference.Pairings
-	capacities             placement.Capacities // of all workers that this table has seen
-	changedSummaries       map[string]struct{}  // ids of the agents for AgentUpdates
-	removedAgents          []string             // for AgentUpdates
-	adviceRequests         []AdviceRequest      // for TakeAdviceRequests
-	resultBytes            int                  // size of the job results in memory
+	// cancellationsKnownAt is as in RecordCancellationsKnown.
+	cancellationsKnownAt time.Time
+	startTracker         startTracker
+	idle                 idleTracker
+	backlog              backlog
+	shares               *fairness.Shares
+	quotas               quotas
+	departing            departures
+	pairings             *interference.Pairings
+	capacities           placement.Capacities // of all workers that this table has seen
+	changedSummaries     map[string]struct{}  // ids of the agents for AgentUpdates
+	removedAgents        []string             // for AgentUpdates
+	adviceRequests       []AdviceRequest      // for TakeAdviceRequests
+	resultBytes          int                  // size of the job results in memory
 }
 
 // New returns an empty table.
--- a/process/settings/contradiction.go
+++ b/process/settings/contradiction.go
@@ -24,6 +24,7 @@
 	{"lease.outage_ms", 100, 86_400_000, "", func(s *Settings) int64 { return s.Lease.OutageMs }},
 	{"lease.worker_ms", 100, 600_000, "", func(s *Settings) int64 { return s.Lease.WorkerMs }},
 	{"lease.worker_max_ms", 0, 600_000, "", func(s *Settings) int64 { return s.Lease.WorkerMaxMs }},
+	{"lease.cancel_ms", 1000, 600_000, RoleEntry, func(s *Settings) int64 { return s.Lease.CancelMs }},
 	{"interference.max_over_ms", 500, 3_600_000, "", func(s *Settings) int64 { return s.Interference.MaxOverMs }},
 	{"scheduling.max_place_wait_ms", 0, 600_000, RoleEntry, func(s *Settings) int64 { return s.Scheduling.MaxPlaceWaitMs }},
 	{"scheduling.model_interval_ms", 0, 600_000, RoleEntry, func(s *Settings) int64 { return s.Scheduling.ModelIntervalMs }},
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -143,6 +143,9 @@
 	// WorkerMaxMs is the longest lease that workers grant. They shorten longer ones to it. 0, or
 	// less than WorkerMs: WorkerMs.
 	WorkerMaxMs int64 `toml:"worker_max_ms,omitempty"`
+	// CancelMs is the time after the response to a cancellation by which no task of the job starts any
+	// more. Only entries use it.
+	CancelMs int64 `toml:"cancel_ms,omitempty"`
 }
 
 // Outage returns how long a leader keeps its term while the store is unavailable.
@@ -154,6 +157,10 @@
 // WorkerMax returns the longest lease that workers grant.
 func (l Lease) WorkerMax() time.Duration { return milliseconds(max(l.WorkerMs, l.WorkerMaxMs)) }
 
+// Cancel returns the time after the response to a cancellation by which no task of the job starts any
+// more.
+func (l Lease) Cancel() time.Duration { return milliseconds(l.CancelMs) }
+
 // Task returns the length of a task lease.
 func (l Lease) Task() time.Duration { return milliseconds(l.TaskMs) }
 
@@ -332,6 +339,7 @@
 		Log:          Log{Format: FormatHuman, Level: LevelInfo},
 	}
 	if role == RoleEntry {
+		s.Lease.CancelMs = 3000
 		s.Records = Records{CommitMs: 40, RetentionMs: 86_400_000, CheckpointMs: 30_000}
 	}
 	return s
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -79,10 +79,16 @@
 
 // Cancel cancels a job. acknowledged is set if the entry has recorded the cancellation.
 func (c *Caller) Cancel(entry, id string) (acknowledged bool, err error) {
-	status, _, err := c.call(fasthttp.MethodDelete, entry, id, nil)
+	status, err := c.Delete(entry, id)
 	return status/100 == 2, err
 }
 
+// Delete cancels a job and returns the HTTP status of the response.
+func (c *Caller) Delete(entry, id string) (status int, err error) {
+	status, _, err = c.call(fasthttp.MethodDelete, entry, id, nil)
+	return status, err
+}
+
 func (c *Caller) call(method, entry, id string, body []byte) (status int, response []byte, err error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
