process/lead: acknowledge cancellations only where the leader waits for this entry

The leader takes it from its followers that it has all cancellations. An entry that does not follow, such as an added one, that has not heard of the leader for two leader timeouts, or a leader whose term the store has not confirmed for as long, is not among them: a cancellation that it acknowledges may be missed for lease.outage_ms while the store does not serve the leader.

Such an entry records the cancellation, which takes effect with the leader's next read of the inbox, and answers once it follows: within a few hundred milliseconds of a new term. If it has lost its leader for good, it answers 503 with Retry-After at once (kind no_leader), and 503 at the caller's deadline otherwise.

--- a/connection/message/runs.go
+++ b/connection/message/runs.go
@@ -224,6 +224,9 @@
 	Evacuated []string `msgpack:"ev,omitempty"`
 	// Backlog replaces the one of an earlier update; nil: unchanged, or the leader publishes none.
 	Backlog *Backlog `msgpack:"bl,omitempty"`
+	// EarlierLeader is set while the leader of the previous term, which this one has never followed, may
+	// still order starts. Cancellations are not acknowledged meanwhile.
+	EarlierLeader bool `msgpack:"el,omitempty"`
 }
 
 // Following tells the leader that an entry has begun no newer term when it sent this. Stamp is
--- a/process/lead/claim.go
+++ b/process/lead/claim.go
@@ -33,7 +33,7 @@
 		n.readTerm(ctx)
 		return
 	}
-	n.beginTerm(ctx, view, next, began)
+	n.beginTerm(ctx, view, next, followed, began)
 }
 
 // readTerm reads the term from the store and adjusts the claim delay to the store's latency.
@@ -46,7 +46,7 @@
 	if err == nil {
 		n.elector.SetClaimDelay(n.cfg.Timing.ClaimDelay + time.Duration(n.cfg.Timing.StoreLatencyFactor)*min(now.Sub(began), maxStoreLatency))
 	}
-	previous := n.elector.View()
+	previous, followed := n.elector.View(), n.elector.Followed()
 	if err != nil {
 		n.elector.RecordReadFailure(now)
 	} else {
@@ -58,7 +58,7 @@
 		n.cfg.Metrics.Add(metrics.StoreReadsFailed, 1)
 	case view.Term > previous.Term && view.HeldBy(n.cfg.Self()) && n.ownTerm.Load() == nil && !n.draining.Load():
 		// This process's own claim had taken effect without a response.
-		n.beginTerm(ctx, previous, view, began)
+		n.beginTerm(ctx, previous, view, followed, began)
 	case view.Term > previous.Term && view.Unreadable:
 		n.cfg.Log.Emit(event.RecordUnreadable, "subject", term.Key)
 	case view.Term > previous.Term:
@@ -71,11 +71,12 @@
 }
 
 // beginTerm leads the term of view, which this process has claimed, or steps down if the jobs
-// cannot be loaded. previous is the view before the claim; newestAt is a time at or before which
+// cannot be loaded. previous is the view before the claim, and followed is
+// set if this process followed its leader; newestAt is a time at or before which
 // the store was called that has shown view as the newest one. Nothing happens if another entry
 // has begun a newer term since then.
-func (n *Node) beginTerm(ctx context.Context, previous, view term.View, newestAt time.Time) {
-	l := newLeaderTerm(n, previous, view, newestAt)
+func (n *Node) beginTerm(ctx context.Context, previous, view term.View, followed bool, newestAt time.Time) {
+	l := newLeaderTerm(n, previous, view, followed, newestAt)
 	n.mu.Lock()
 	superseded := n.elector.Term() > view.Term
 	if !superseded {
--- a/process/lead/followers.go
+++ b/process/lead/followers.go
@@ -78,7 +78,7 @@
 func (l *leaderTerm) newUpdate() message.Update {
 	return message.Update{
 		Term: l.number, Heartbeat: l.heartbeat.Load(), Degraded: l.degraded.Load(), Loading: !l.loaded.Load(),
-		Config: l.node.cfg.ConfigState(),
+		Config: l.node.cfg.ConfigState(), EarlierLeader: l.earlierLeaderMayAct(l.node.cfg.Clock.Now()),
 	}
 }
 
--- a/process/lead/intake.go
+++ b/process/lead/intake.go
@@ -202,8 +202,9 @@
 }
 
 // Cancel records the cancellation of a job and notifies the leader. It returns when the
-// record is durable; known is false if there is no such job. A job in a final state is
-// left as it is. The error is an *outcome.Error.
+// record is durable and no leader can miss it; known is false if there is no such job. A job
+// in a final state is left as it is. The error is an *outcome.Error. If it is of kind NoLeader,
+// the cancellation is recorded.
 func (n *Node) Cancel(ctx context.Context, id string) (known bool, err error) {
 	state, known, err := n.State(ctx, id)
 	if err != nil || !known || state.Terminal() {
@@ -222,10 +223,10 @@
 	if l := n.loadedTerm(); l != nil {
 		l.cancel(id, "caller")
 		l.dispatch()
-		return true, nil
+	} else {
+		n.notifyLeader(cancelledKey(id), message.KindCancelled, &message.JobRef{Job: id})
 	}
-	n.notifyLeader(cancelledKey(id), message.KindCancelled, &message.JobRef{Job: id})
-	return true, nil
+	return true, n.awaitInformed(ctx)
 }
 
 // QueueLength returns the number of accepted jobs of a profile that have not begun.
--- a/process/lead/leader_conn.go
+++ b/process/lead/leader_conn.go
@@ -26,6 +26,7 @@
 	// noticeDropped is set if a notice of a cancellation was not kept. No stamp is returned from then on:
 	// the leader learns of that cancellation from the store.
 	noticeDropped bool
+	earlierLeader bool // message.Update.EarlierLeader of the latest update
 }
 
 // notice is a message to the leader, repeated until one of its updates shows the effect, or until it
@@ -218,6 +219,7 @@
 	followed := n.leader != nil && n.leader.term == u.Term
 	if followed {
 		n.leader.receivedAt, address = now, n.leader.address
+		n.leader.earlierLeader = u.EarlierLeader
 		if !u.Resigned {
 			n.leader.stamp = max(n.leader.stamp, u.Stamp)
 		}
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -42,6 +42,9 @@
 	table  *schedule.Table
 	writer *jobstore.Writer
 	begun  time.Time // from which stamps count
+	// followedPrevious: this process followed the leader of the previous term, which could not take it
+	// that no newer term had begun without this process.
+	followedPrevious bool
 
 	loaded atomic.Bool // the table holds the jobs of earlier terms
 	// Each is set while its work is queued or running; dispatchPending requests one more pass.
@@ -121,8 +124,8 @@
 
 // newLeaderTerm returns a term whose jobs are not loaded. The right to grant leases counts from
 // newestAt, as in commitSucceeded: the response or this process may have been delayed.
-func newLeaderTerm(n *Node, previous, view term.View, newestAt time.Time) *leaderTerm {
-	l := &leaderTerm{node: n, number: view.Term}
+func newLeaderTerm(n *Node, previous, view term.View, followedPrevious bool, newestAt time.Time) *leaderTerm {
+	l := &leaderTerm{node: n, number: view.Term, followedPrevious: followedPrevious}
 	l.table = schedule.New(schedule.Config{
 		Clock: n.cfg.Clock, Log: n.cfg.Log, Meter: n.cfg.Metrics, Term: view.Term, Lease: n.cfg.Timing.Lease,
 		MaxWorkerLease: n.cfg.Timing.MaxWorkerLease, LateCallWindow: platform.LateCallWindow, CancelBound: n.cfg.Timing.CancelBound,
--- a/request/outcome/kind.go
+++ b/request/outcome/kind.go
@@ -47,6 +47,7 @@
 	Draining         Kind = "draining"
 	StaleIncarnation Kind = "stale_incarnation"
 	NotOwner         Kind = "not_owner"
+	NoLeader         Kind = "no_leader"
 	ConnectionLost   Kind = "connection_lost"
 	Tombstoned       Kind = "refused_by_tombstone"
 	TargetFailed     Kind = "target_failed"
@@ -89,6 +90,7 @@
 	Draining:         {503, RanNo, true},
 	StaleIncarnation: {409, RanNo, false},
 	NotOwner:         {503, RanNo, true},
+	NoLeader:         {503, RanMaybe, true},
 	ConnectionLost:   {502, RanMaybe, true},
 	Tombstoned:       {503, RanNo, true},
 	TargetFailed:     {502, RanYes, true},
