process/runs, process/lead: agents leave an isolated leader for the next one

The agents beside a leader that is cut off from the store and from other failure domains stayed with it for the whole cut, because they search for a leader only when their own does not reply. The next leader could neither stop nor take over their runs, and nothing new started there once the isolated one had stopped ordering starts.

The reply to a report tells when the leader has not been able to confirm for its timeout that it has all cancellations. The agent then asks entries for a newer term with each report, and goes over to it; the store is not read for that. With all entries following, as in an outage of the store, nobody searches.

--- a/connection/message/runs.go
+++ b/connection/message/runs.go
@@ -119,6 +119,9 @@
 	// empty if they have not changed.
 	Entries       []string `msgpack:"e,omitempty"`
 	ConfigVersion uint64   `msgpack:"v,omitempty"` // in force at the leader
+	// Isolated is set if the leader has for its timeout reached neither the store nor all other entries.
+	// Another entry may have begun a term, so the agent asks the entries for it and goes over to it.
+	Isolated bool `msgpack:"o,omitempty"`
 }
 
 // StartRun orders an agent to start one run.
--- a/process/lead/cancellations_test.go
+++ b/process/lead/cancellations_test.go
@@ -158,6 +158,7 @@
 		require.False(t, end.After(lastFollowed.Add(testCancelBound)), "a start may begin too late after a cancellation")
 	}
 	require.False(t, ordered, "the follower may have acknowledged a cancellation")
+	require.True(t, r.l.isolated.Load(), "the agents have to look for another leader")
 	require.Greater(t, r.clock.Since(lastFollowed), testCancelBound/2, "starts end too early")
 
 	r.advance(100*time.Millisecond, true)
--- a/process/lead/followers.go
+++ b/process/lead/followers.go
@@ -170,6 +170,7 @@
 	l.mu.sessions[r.Agent] = agentSession{number: r.Session, conn: conn}
 	sendEntries = r.Full || l.mu.entriesSent[r.Agent] != l.mu.entriesVersion
 	l.mu.entriesSent[r.Agent] = l.mu.entriesVersion
+	reply.Isolated = l.isolated.Load()
 	return reply, sendEntries
 }
 
--- a/process/runs/late_orders_test.go
+++ b/process/runs/late_orders_test.go
@@ -24,14 +24,13 @@
 		r := newRig(t)
 		r.node.leader.buildReport(r.clock.Now())
 		o := reportedOrders(r, within)
-		r.clock.Advance(within)
-		if late {
+		if r.clock.Advance(within); late {
 			r.clock.Advance(time.Millisecond)
 		}
 		r.node.extendGrant(r.clock.Now().Add(testGrant))
 		r.node.applyOrders(o)
 		if !late {
-			r.eventually("the run starts", func() bool { return r.node.isConfirmed(runKey("j", 1)) })
+			require.Eventually(t, func() bool { return r.node.isConfirmed(runKey("j", 1)) }, 10*time.Second, time.Millisecond)
 			continue
 		}
 		report := r.node.leader.buildReport(r.clock.Now())
@@ -47,8 +46,13 @@
 	const within = 500 * time.Millisecond
 	r := newRig(t)
 	r.node.leader.buildReport(r.clock.Now())
-	r.worker.setOutcome(always(unreachable))
+	called := make(chan struct{}, 100)
+	r.worker.setOutcome(func(string) callOutcome {
+		called <- struct{}{}
+		return unreachable
+	})
 	r.node.applyOrders(reportedOrders(r, within))
+	<-called
 	r.clock.Advance(within + time.Millisecond)
 	r.worker.setOutcome(always(succeeds))
 	r.eventually("the start is given up", func() bool { return !r.node.hasRun(runKey("j", 1)) })
--- a/process/runs/leader_client.go
+++ b/process/runs/leader_client.go
@@ -119,20 +119,28 @@
 		l.searchedAt = now
 	}
 	l.mu.Unlock()
-	if find && l.finding.CompareAndSwap(false, true) {
-		err := l.node.cfg.Pool.Submit(func(ctx context.Context) {
-			defer l.finding.Store(false)
-			l.findLeader(ctx)
-		})
-		if err != nil {
-			l.finding.Store(false)
-		}
+	if find {
+		l.startSearch(l.findLeader)
 	}
 	if due {
 		l.triggerReport()
 	}
 }
 
+// startSearch runs a search for the leader on the pool, unless one is running.
+func (l *leaderClient) startSearch(search func(context.Context)) {
+	if !l.finding.CompareAndSwap(false, true) {
+		return
+	}
+	err := l.node.cfg.Pool.Submit(func(ctx context.Context) {
+		defer l.finding.Store(false)
+		search(ctx)
+	})
+	if err != nil {
+		l.finding.Store(false)
+	}
+}
+
 // isReportDue reports whether the time between two reports is over. The caller holds mu.
 func (l *leaderClient) isReportDue(now time.Time) bool {
 	interval := l.node.cfg.Timing.ReportInterval
@@ -156,6 +164,11 @@
 			return
 		}
 	}
+	l.queryEntries(ctx)
+}
+
+// queryEntries queries the next entries for the leader and follows the first one that is to be followed.
+func (l *leaderClient) queryEntries(ctx context.Context) {
 	results := make(chan bool, maxConcurrentQueries)
 	queried := l.nextEntries()
 	for _, address := range queried {
--- a/process/runs/leader_reply.go
+++ b/process/runs/leader_reply.go
@@ -40,6 +40,9 @@
 			l.node.extendGrant(sent.Add(time.Duration(reply.LeaseMs) * time.Millisecond))
 		}
 		l.reportAccepted(address, r, reply)
+		if reply.Isolated {
+			l.startSearch(l.queryEntries)
+		}
 	}
 }
 
