process/lead, process/jobstore: a cancelled job is not created by an earlier submission

A client whose POST had 504 cancelled the job by a DELETE at another entry, which answered 410. Cancel returned for an ID without a record and wrote nothing, although PROTOCOL says that a call without a response may be executed seconds later; the refusal record that makes a late create fail was used for refused submissions only.

Cancel now reads the record and writes on condition that it is unchanged: the cancellation if there is a job, a refusal record if there is none. A submission that arrived before it is refused, one that arrives later replaces it: a client that hands the ID in anew is accepted, or refused once with Retry-After at an entry that does not know the record yet, and a repeated POST of an accepted job finds that job. DELETE in the product's own interface does the same.

The record carries its time, so that leaders which change more often than once in the 78 s of its retention do not keep it for good: it is deleted after 108 s by its time.

--- a/process/entry/jobs.go
+++ b/process/entry/jobs.go
@@ -63,6 +63,22 @@
 
 func noSuchJob() error { return outcome.Field(outcome.NotFound, "id", "no such job") }
 
+// excludeJob makes sure that a job which is not recorded is not created by a submission from before, and
+// returns an outcome.NotFound error; or its record if it has been recorded meanwhile.
+func (e *Entry) excludeJob(ctx context.Context, id string) (job.Record, error) {
+	if len(id) != job.IDLength {
+		return job.Record{}, noSuchJob()
+	}
+	excluded, err := e.node.Exclude(ctx, id)
+	switch {
+	case err != nil:
+		return job.Record{}, err
+	case excluded:
+		return job.Record{}, noSuchJob()
+	}
+	return e.lookup(ctx, id, 0)
+}
+
 // cancelJob records the cancellation of a job and returns the job's record.
 func (e *Entry) cancelJob(ctx context.Context, id string) (job.Record, error) {
 	known, err := e.node.Cancel(ctx, id)
--- a/process/entry/web.go
+++ b/process/entry/web.go
@@ -225,6 +225,9 @@
 	ctx, cancel := context.WithTimeout(w.entry.runCtx, operationTimeout)
 	defer cancel()
 	record, err := w.entry.lookup(ctx, id, 0)
+	if err != nil && outcome.From(err).Kind == outcome.NotFound && w.mayExclude(x) {
+		record, err = w.entry.excludeJob(ctx, id)
+	}
 	if err == nil && !w.owns(x, record) {
 		err = outcome.Field(outcome.NotFound, "id", "no such job of this franchisee")
 	}
@@ -234,6 +237,13 @@
 	w.writeJob(x, id, record, err)
 }
 
+// mayExclude reports whether the user may act for the franchisee that the request names. The owner of a job
+// that is not recorded is not known, but its id is a hash of the franchisee and the key.
+func (w *web) mayExclude(x *exchange) bool {
+	franchisee := string(x.Request.Header.Peek("Camphorhead-Franchisee"))
+	return franchisee != "" && x.user.MayCall(franchisee)
+}
+
 // owns reports whether the job belongs to the franchisee that the request names
 // and the user may act for.
 func (w *web) owns(x *exchange, record job.Record) bool {
--- a/process/event/catalogue.go
+++ b/process/event/catalogue.go
@@ -90,6 +90,8 @@
 	{JobCancelRequested, "job_cancel_wanted", Info, "cancellation of a job is recorded", withUnits("job source"), noAction},
 	{RecordUnreadable, "record_unreadable", Error, "record in the store cannot be read and is left unchanged", withUnits("subject"), "Check which program writes this key to the store."},
 	{JobNotRecorded, "job_not_recorded", Info, "job could not be recorded", withUnits("job profile reason ran elapsed_ms error"), "Check the store. ran reports whether the job may have been recorded."},
+	{UnknownJobCancelled, "unknown_job_cancelled", Info, "job was cancelled that is not recorded; submissions of it from before are refused", withUnits("job"), noAction},
+	{CancelRefused, "cancel_refused", Info, "cancellation is not acknowledged", withUnits("job reason"), "The reason names what is missing. The caller was told to repeat it."},
 }
 
 var checkEvents = []Definition{
--- a/process/event/id.go
+++ b/process/event/id.go
@@ -85,6 +85,8 @@
 	RecordUnreadable
 	_
 	JobNotRecorded
+	UnknownJobCancelled
+	CancelRefused
 )
 
 // Checks: 6000 to 6999.
--- a/process/jobstore/jobs.go
+++ b/process/jobstore/jobs.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"time"
 
 	"camphorhead.example/camphorhead/process/platform"
 	"camphorhead.example/camphorhead/request/job"
@@ -77,8 +78,44 @@
 	return stored, err == nil && !stored.Refused, err
 }
 
-// Cancel records that the cancellation of a job was requested.
-func (s *Jobs) Cancel(ctx context.Context, id string) error {
-	_, err := s.store.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: cancelKey(id), Value: []byte{}}}})
-	return err
+// Cancellation is what Cancel has found and recorded.
+type Cancellation struct {
+	Job   StoredJob // found; with a definition unless it has ended
+	Found bool      // false: there is no such job, and a refusal record excludes those submitted before
+	// Revision is that of the record of the cancellation or refusal; 0: none was written, as the job has ended.
+	Revision uint64
+}
+
+// Cancel records that the cancellation of a job was requested, unless it has ended. If there is no such
+// job, it may be created late by a submission that has had no response, so Cancel records its refusal; admit
+// is called before that, and an error of it is returned. Each record is written on condition that the key
+// of the job is as it was read: a cancellation that is executed late concerns no job that was handed in anew
+// under the ID. After platform.ErrUncertain the record may exist or appear later; after
+// platform.ErrUnavailable it does not.
+func (s *Jobs) Cancel(ctx context.Context, id string, at time.Time, admit func() error) (c Cancellation, err error) {
+	for range maxRefuseAttempts {
+		kv, err := s.store.Read(ctx, jobKey(id))
+		if err != nil {
+			return Cancellation{}, err
+		}
+		_, refused := parseRefusal(kv.Value)
+		c = Cancellation{Found: kv.Revision != 0 && !refused}
+		put := platform.Put{Key: cancelKey(id), Value: []byte{}}
+		if !c.Found {
+			if err := admit(); err != nil {
+				return Cancellation{}, err
+			}
+			// An earlier refusal is written again, as in Refuse.
+			put = platform.Put{Key: jobKey(id), Value: refusalAt(at)}
+		} else if c.Job, err = decodeStored(kv); err != nil || c.Job.Ended() {
+			return c, err
+		}
+		c.Revision, err = s.store.Commit(ctx, platform.Txn{
+			Expect: []platform.Expectation{{Key: jobKey(id), Revision: kv.Revision}}, Puts: []platform.Put{put},
+		})
+		if !errors.Is(err, platform.ErrConflict) {
+			return c, err
+		}
+	}
+	return Cancellation{}, platform.ErrUnavailable
 }
--- a/process/jobstore/jobstore_test.go
+++ b/process/jobstore/jobstore_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -274,7 +275,8 @@
 	jobs := New(store)
 	_, _, err = jobs.Create(t.Context(), definition("a"), 1)
 	require.NoError(t, err)
-	require.NoError(t, jobs.Cancel(t.Context(), "a"))
+	_, err = jobs.Cancel(t.Context(), "a", time.Time{}, nil)
+	require.NoError(t, err)
 	in, err := w.Inbox(t.Context(), revision)
 	require.NoError(t, err)
 	require.Len(t, in.Jobs, 1)
--- a/process/jobstore/keys.go
+++ b/process/jobstore/keys.go
@@ -8,6 +8,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/errs"
@@ -43,6 +44,8 @@
 	Record *job.Record `msgpack:"r,omitempty"`
 	// Refused is set if the key contains a refusal record and so no job.
 	Refused bool `msgpack:"-"`
+	// RefusedAt is the time in a refusal record; zero: it has none.
+	RefusedAt time.Time `msgpack:"-"`
 	// ID and Revision come from the key, not from its value.
 	ID       string `msgpack:"-"`
 	Revision uint64 `msgpack:"-"`
@@ -75,8 +78,8 @@
 // error for any definition with which the leader could not work.
 func decodeStored(kv platform.KV) (StoredJob, error) {
 	s := StoredJob{ID: strings.TrimPrefix(kv.Key, jobPrefix), Revision: kv.Revision}
-	if isRefusal(kv.Value) {
-		s.Refused = true
+	if at, ok := parseRefusal(kv.Value); ok {
+		s.Refused, s.RefusedAt = true, at
 		return s, nil
 	}
 	if err := body.Unmarshal(kv.Value, &s); err != nil {
--- a/process/jobstore/load.go
+++ b/process/jobstore/load.go
@@ -80,7 +80,7 @@
 			continue
 		}
 		if stored.Refused {
-			w.recordRefusal(stored.ID, kv.Revision)
+			w.recordRefusal(stored.ID, kv.Revision, stored.RefusedAt)
 			continue
 		}
 		w.RecordJobRevision(stored.ID, kv.Revision)
@@ -115,7 +115,7 @@
 			continue
 		}
 		if stored.Refused {
-			w.recordRefusal(stored.ID, stored.Revision)
+			w.recordRefusal(stored.ID, stored.Revision, stored.RefusedAt)
 			continue
 		}
 		w.dropRefusal(stored.ID)
--- a/process/jobstore/refusals.go
+++ b/process/jobstore/refusals.go
@@ -3,21 +3,42 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
 	"time"
 
 	"camphorhead.example/camphorhead/process/platform"
 )
 
-// A refusal record occupies the key of a job that an entry refuses, so that an earlier create which
-// the store executes late fails. It refuses each submission that arrived before it; a later one
-// replaces it. For the leader and for lookups there is no such job.
+// A refusal record occupies the key of a job that an entry refuses, or that was cancelled before it was
+// recorded, so that an earlier create which the store executes late fails. It refuses each submission that
+// arrived before it; a later one replaces it. For the leader and for lookups there is no such job.
 
-// refusalValue is the value of a refusal record: a map of "refused" to the form 1. Only these bytes are
-// one, because a newer version may give a record with more fields another meaning.
-var refusalValue = []byte("\x81\xa7refused\x01")
+// The values of refusal records are msgpack maps. Only these bytes are one, because a newer version may
+// give a record with more fields another meaning.
+var (
+	// untimedRefusal is the value that earlier versions wrote: "refused" is the form 1.
+	untimedRefusal = []byte("\x81\xa7refused\x01")
+	// timedRefusal precedes the time of the refusal in 8 bytes: "refused" is the form 2, "at" the Unix time
+	// in milliseconds by the clock of the entry.
+	timedRefusal = []byte("\x82\xa7refused\x02\xa2at\xd3")
+)
 
-func isRefusal(value []byte) bool { return bytes.Equal(value, refusalValue) }
+func refusalAt(at time.Time) []byte {
+	return binary.BigEndian.AppendUint64(bytes.Clone(timedRefusal), uint64(at.UnixMilli()))
+}
+
+// parseRefusal reports whether a value is that of a refusal record; at is zero if it has no time.
+func parseRefusal(value []byte) (at time.Time, ok bool) {
+	if bytes.Equal(value, untimedRefusal) {
+		return time.Time{}, true
+	}
+	ms, ok := bytes.CutPrefix(value, timedRefusal)
+	if !ok || len(ms) != 8 {
+		return time.Time{}, false
+	}
+	return time.UnixMilli(int64(binary.BigEndian.Uint64(ms))), true
+}
 
 const (
 	// MaxCreateTime is how long an entry may repeat the create of one submission. The users' platform
@@ -27,6 +48,10 @@
 	// of a submission from before it can be executed any more, whose time another clock has measured.
 	// The margin is above the 4% by which clock rates may differ.
 	refusalRetention = MaxCreateTime + platform.LateCallWindow + 5*time.Second
+	// wallClockSlack is added to refusalRetention where the age is that by the time in the record: the time
+	// of day differs between hosts, and may jump by seconds. So the age of a record is bounded although
+	// leaders change more often than once in refusalRetention.
+	wallClockSlack = 30 * time.Second
 	// maxRefuseAttempts bounds the transactions of one refusal. Each follows a conflict with the
 	// refusal of another submission of the id, or with the removal of one.
 	maxRefuseAttempts = 3
@@ -36,15 +61,15 @@
 	refusalsPerPurge = (platform.MaxTxnEntries - 1) / 2
 )
 
-// Refuse records the refusal of a job and returns its revision. refused is false if the key contains
-// another record or may contain one. After platform.ErrUncertain the refusal record may exist or
+// Refuse records the refusal of a job at a time and returns its revision. refused is false if the key
+// contains another record or may contain one. After platform.ErrUncertain the refusal record may exist or
 // appear later, unless the key is taken first.
-func (s *Jobs) Refuse(ctx context.Context, id string) (revision uint64, refused bool, err error) {
+func (s *Jobs) Refuse(ctx context.Context, id string, at time.Time) (revision uint64, refused bool, err error) {
 	key, expected := jobKey(id), uint64(0)
 	for range maxRefuseAttempts {
 		revision, err = s.store.Commit(ctx, platform.Txn{
 			Expect: []platform.Expectation{{Key: key, Revision: expected}},
-			Puts:   []platform.Put{{Key: key, Value: refusalValue}},
+			Puts:   []platform.Put{{Key: key, Value: refusalAt(at)}},
 		})
 		if err == nil {
 			return revision, true, nil
@@ -54,7 +79,7 @@
 			return 0, false, err
 		}
 		item := conflict.Items[0]
-		if item.Revision != 0 && !isRefusal(item.Value) {
+		if _, isRefusal := parseRefusal(item.Value); item.Revision != 0 && !isRefusal {
 			return 0, false, nil
 		}
 		// An earlier refusal is written again: a submission that has seen it may replace it late.
@@ -66,16 +91,23 @@
 // refusal is a refusal record that the leader has found.
 type refusal struct {
 	revision uint64
+	at       time.Time // in the record; zero: it has none
 	foundAt  time.Time // time of the first PurgeRefusals after it was found; zero: none yet
 }
 
-func (w *Writer) recordRefusal(id string, revision uint64) {
+// isDue reports whether the record may be deleted.
+func (r *refusal) isDue(now time.Time) bool {
+	byRecord := !r.at.IsZero() && now.Sub(r.at) >= refusalRetention+wallClockSlack
+	return byRecord || now.Sub(r.foundAt) >= refusalRetention
+}
+
+func (w *Writer) recordRefusal(id string, revision uint64, at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if r, known := w.refusals[id]; known && r.revision >= revision || !known && len(w.refusals) >= maxRefusals {
 		return
 	}
-	w.refusals[id] = refusal{revision: revision}
+	w.refusals[id] = refusal{revision: revision, at: at}
 }
 
 // dropRefusal forgets a refusal record that was replaced or deleted.
@@ -85,8 +117,9 @@
 	delete(w.refusals, id)
 }
 
-// PurgeRefusals deletes some of the refusal records that were found longer than refusalRetention ago,
-// unless they have been replaced, and returns how many it tried. It fails with platform.ErrConflict if
+// PurgeRefusals deletes some of the refusal records that were found longer than refusalRetention ago, or
+// by their time are older than that by wallClockSlack, unless they have been replaced, and returns how many
+// it tried. It fails with platform.ErrConflict if
 // another term has begun.
 func (w *Writer) PurgeRefusals(ctx context.Context, now time.Time) (tried int, err error) {
 	t := platform.Txn{Expect: []platform.Expectation{{Key: w.fence.Key, Revision: w.fence.Revision}}}
@@ -129,11 +162,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, r := range w.refusals {
-		switch {
-		case r.foundAt.IsZero():
+		if r.foundAt.IsZero() {
 			r.foundAt = now
 			w.refusals[id] = r
-		case now.Sub(r.foundAt) >= refusalRetention && len(due) < refusalsPerPurge:
+		}
+		if r.isDue(now) && len(due) < refusalsPerPurge {
 			due[id] = r.revision
 		}
 	}
--- a/process/jobstore/refusals_test.go
+++ b/process/jobstore/refusals_test.go
@@ -1,8 +1,10 @@
 package jobstore
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -20,13 +22,13 @@
 	jobs, w := New(store), beginTerm(store, 1)
 	_, _, err := jobs.Create(t.Context(), definition("accepted"), 1)
 	require.NoError(t, err)
-	_, refused, err := jobs.Refuse(t.Context(), "accepted")
+	_, refused, err := jobs.Refuse(t.Context(), "accepted", time.Unix(1000, 0))
 	require.NoError(t, err)
 	require.False(t, refused)
-	revision, refused, err := jobs.Refuse(t.Context(), "refused")
+	revision, refused, err := jobs.Refuse(t.Context(), "refused", time.Unix(1000, 0))
 	require.NoError(t, err)
 	require.True(t, refused)
-	again, refused, err := jobs.Refuse(t.Context(), "refused")
+	again, refused, err := jobs.Refuse(t.Context(), "refused", time.Unix(1000, 0))
 	require.NoError(t, err)
 	require.True(t, refused)
 	require.Greater(t, again, revision, "who has seen the first one may replace it late")
@@ -63,7 +65,7 @@
 		revisions := map[string]uint64{}
 		for i := range refusals {
 			id := fmt.Sprint("j", i)
-			revision, refused, err := jobs.Refuse(t.Context(), id)
+			revision, refused, err := jobs.Refuse(t.Context(), id, time.Unix(1000, 0))
 			require.NoError(t, err)
 			require.True(t, refused)
 			revisions[id] = revision
@@ -90,7 +92,7 @@
 		_, created, err := jobs.CreateOver(t.Context(), definition("j0"), 1, revisions["j0"])
 		require.NoError(t, err)
 		require.True(t, created)
-		_, refused, err := jobs.Refuse(t.Context(), "j1")
+		_, refused, err := jobs.Refuse(t.Context(), "j1", time.Unix(1000, 0))
 		require.NoError(t, err)
 		require.True(t, refused)
 		store.nextFault = func() fault { return unavailable }
@@ -103,9 +105,9 @@
 		require.Contains(t, store.items, jobKey("j1"))
 		require.Empty(t, w.refusals)
 
-		revision, _, err := jobs.Refuse(t.Context(), "fenced")
+		revision, _, err := jobs.Refuse(t.Context(), "fenced", time.Unix(1000, 0))
 		require.NoError(t, err)
-		w.recordRefusal("fenced", revision)
+		w.recordRefusal("fenced", revision, time.Time{})
 		purge(found)
 		beginTerm(store, 2)
 		_, err = w.PurgeRefusals(t.Context(), found.Add(refusalRetention))
@@ -118,7 +120,7 @@
 func TestRememberedRefusalsAreBounded(t *testing.T) {
 	w := beginTerm(newFakeStore(), 1)
 	for i := range maxRefusals + 10 {
-		w.recordRefusal(fmt.Sprint(i), 1)
+		w.recordRefusal(fmt.Sprint(i), 1, time.Time{})
 	}
 	require.Len(t, w.refusals, maxRefusals)
 }
@@ -205,11 +207,18 @@
 				}
 			},
 			"refuse": func(t *rapid.T) {
-				if _, refused, err := jobs.Refuse(t.Context(), "j"); err == nil && refused {
+				if _, refused, err := jobs.Refuse(t.Context(), "j", now); err == nil && refused {
 					require.Empty(t, accepted, "an accepted job is refused")
 					refusedBefore = len(submissions)
 				}
 			},
+			"cancel": func(t *rapid.T) {
+				c, err := jobs.Cancel(t.Context(), "j", now, func() error { return nil })
+				if err == nil && !c.Found {
+					require.Empty(t, accepted, "an accepted job is answered to be unknown")
+					refusedBefore = len(submissions)
+				}
+			},
 			"late":  func(*rapid.T) { store.applyDelayed() },
 			"inbox": func(t *rapid.T) { _, _ = w.Inbox(t.Context(), 0) },
 			"purge": func(t *rapid.T) {
@@ -234,8 +243,9 @@
 	ended, err := encode(&StoredJob{State: job.Done, Profile: "p", EndedMs: 1})
 	require.NoError(f, err)
 	for _, value := range [][]byte{
-		refusalValue, accepted, ended, nil, []byte("\x81\xa7refused\x02"), []byte("\x81\xa7refused\xcc\x01"), []byte("\x81\xa7refused"),
-		append(append([]byte{}, refusalValue...), 0xc0), []byte("\x82\xa7refused\x01\xa1s\xa4done"), []byte("\x82\xa7refused\x01\xa5until\x07"),
+		untimedRefusal, refusalAt(time.Unix(1000, 0)), accepted, ended, nil, []byte("\x81\xa7refused\x02"), []byte("\x81\xa7refused\xcc\x01"), []byte("\x81\xa7refused"),
+		append(append([]byte{}, untimedRefusal...), 0xc0), append(refusalAt(time.Unix(1000, 0)), 0xc0), refusalAt(time.Unix(1000, 0))[:20],
+		bytes.Replace(refusalAt(time.Unix(1000, 0)), []byte("at"), []byte("by"), 1), []byte("\x82\xa7refused\x01\xa1s\xa4done"), []byte("\x82\xa7refused\x01\xa5until\x07"),
 	} {
 		f.Add(value)
 	}
@@ -245,7 +255,8 @@
 		revision, err := store.apply(platform.Txn{Puts: []platform.Put{{Key: jobKey("j"), Value: value}}})
 		require.NoError(t, err)
 		stored, decodeErr := decodeStored(store.items[jobKey("j")])
-		refusal := string(value) == "\x81\xa7refused\x01"
+		timed, isTimed := strings.CutPrefix(string(value), "\x82\xa7refused\x02\xa2at\xd3")
+		refusal := string(value) == "\x81\xa7refused\x01" || isTimed && len(timed) == 8
 		require.Equal(t, refusal, decodeErr == nil && stored.Refused)
 		loaded, _, unreadable, err := w.Load(t.Context())
 		require.NoError(t, err)
@@ -257,9 +268,35 @@
 		}
 		require.Len(t, append(unreadable, make([]string, len(loaded))...), 1)
 		require.Empty(t, w.refusals, "it would be deleted")
-		_, refused, err := New(store).Refuse(t.Context(), "j")
+		_, refused, err := New(store).Refuse(t.Context(), "j", time.Unix(1000, 0))
 		require.NoError(t, err)
 		require.False(t, refused)
 		require.Equal(t, revision, store.items[jobKey("j")].Revision)
 	})
 }
+
+// Guards against refusal records that stay for good because leaders change more often than one may delete
+// them by the time at which it has found them.
+func TestRefusalsAgeAcrossLeaders(t *testing.T) {
+	const term = refusalRetention / 2
+	store := newFakeStore()
+	created := time.Unix(1000, 0)
+	_, refused, err := New(store).Refuse(t.Context(), "j", created)
+	require.NoError(t, err)
+	require.True(t, refused)
+	for now := created; ; now = now.Add(term) {
+		w := beginTerm(store, byte(now.Sub(created)/term)+1)
+		_, _, _, err := w.Load(t.Context())
+		require.NoError(t, err)
+		for range 2 {
+			_, err = w.PurgeRefusals(t.Context(), now)
+			require.NoError(t, err)
+		}
+		if _, kept := store.items[jobKey("j")]; !kept {
+			require.GreaterOrEqual(t, now.Sub(created), refusalRetention, "a create may still be executed")
+			require.LessOrEqual(t, now.Sub(created), refusalRetention+wallClockSlack+term)
+			return
+		}
+		require.LessOrEqual(t, now.Sub(created), time.Hour)
+	}
+}
--- a/process/lead/admission.go
+++ b/process/lead/admission.go
@@ -186,7 +186,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.Timing.CallTimeout)
 	defer cancel()
-	revision, refused, err := n.jobs.Refuse(ctx, id)
+	revision, refused, err := n.jobs.Refuse(ctx, id, n.cfg.Clock.Now())
 	n.breaker.record(err)
 	if err != nil || !refused {
 		return false
--- a/process/lead/intake.go
+++ b/process/lead/intake.go
@@ -201,34 +201,6 @@
 	return state, true, nil
 }
 
-// Cancel records the cancellation of a job and notifies the leader. It returns when the
-// record is durable and no leader can miss it; known is false if there is no such job. A job
-// in a final state is left as it is. The error is an *outcome.Error. If it is of kind NoLeader,
-// the cancellation is recorded.
-func (n *Node) Cancel(ctx context.Context, id string) (known bool, err error) {
-	state, known, err := n.State(ctx, id)
-	if err != nil || !known || state.Terminal() {
-		return known, err
-	}
-	uncertain := false
-	err = n.callStore(ctx, func(ctx context.Context) error {
-		err := n.jobs.Cancel(ctx, id)
-		uncertain = uncertain || errors.Is(err, platform.ErrUncertain)
-		return err
-	})
-	if err != nil {
-		return true, storeFailure(err, uncertain)
-	}
-	n.cfg.Log.Emit(event.JobCancelRequested, "job", id, "source", "caller")
-	if l := n.loadedTerm(); l != nil {
-		l.cancel(id, "caller")
-		l.dispatch()
-	} else {
-		n.notifyLeader(cancelledKey(id), message.KindCancelled, &message.JobRef{Job: id})
-	}
-	return true, n.awaitInformed(ctx)
-}
-
 // QueueLength returns the number of accepted jobs of a profile that have not begun.
 func (n *Node) QueueLength(profile string) int {
 	return n.states.queueLength(profile)
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
 
 	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
@@ -116,8 +117,9 @@
 	jobs            *jobstore.Jobs
 	states          *stateCache
 	admissions      *admissions
-	storePool       *pool.Pool // calls to the store, announcements of a new term
-	advice          *pool.Pool // advice requests; one worker: the policy service serves a process one call at a time
+	unknownCancels  *rate.Limiter // cancellations of jobs that are not recorded
+	storePool       *pool.Pool    // calls to the store, announcements of a new term
+	advice          *pool.Pool    // advice requests; one worker: the policy service serves a process one call at a time
 	ticker          *pool.Ticker
 	ownTerm         atomic.Pointer[leaderTerm] // the term that this process leads; nil: it does not lead
 	draining        atomic.Bool                // this process is about to end, or a planned stop covers it
@@ -140,8 +142,8 @@
 func New(cfg Config) *Node {
 	n := &Node{
 		cfg: cfg, jobs: jobstore.New(cfg.Store), mu: lockrank.NewMutex(lockrank.RankMembership),
-		states:       newStateCache(cfg.Clock, cfg.Timing.Retention),
-		admissions:   newAdmissions(cfg.Clock),
+		states:     newStateCache(cfg.Clock, cfg.Timing.Retention),
+		admissions: newAdmissions(cfg.Clock), unknownCancels: rate.NewLimiter(unknownCancelsPerSecond, unknownCancelBurst),
 		knownEntries: map[string]message.EntryInfo{}, notices: map[string]*notice{},
 	}
 	n.elector = term.NewElector(term.Timing{
--- a/request/admission/job.go
+++ b/request/admission/job.go
@@ -69,7 +69,7 @@
 // RefusalRecorded returns the error for a submission that meets the refusal record of its job. It may be
 // that of another submission.
 func RefusalRecorded(id string) *outcome.Error {
-	err := outcome.New(outcome.Overloaded, "a refusal of the job was recorded; submit it again")
+	err := outcome.New(outcome.Overloaded, "the job was refused or cancelled meanwhile; submit it again")
 	err.RetryAfterSeconds = retryAfter(id, minRetryAfter)
 	return err
 }
