process/lead, process/jobstore: a cancellation concerns the record that it was written for

Its record was written whether the job existed or not, so one that the store executed late, or that the leader found after it had written the job's end, stayed in the store for good and cancelled a job that was handed in later under the ID, as did a notice that an entry repeated. A notice that overtook the notice of its job was lost until the next one. An entry reported the final state of a purged job, and took no submission of its ID, for as long again as the retention.

Notices carry that revision; a job that is accepted after its cancellation is cancelled at once; the leader deletes a cancellation that it has found after the end along with the job; an entry reads the store for a final state that is older than the retention.

--- a/connection/message/runs.go
+++ b/connection/message/runs.go
@@ -250,6 +250,9 @@
 // JobRef identifies a job.
 type JobRef struct {
 	Job string `msgpack:"j"`
+	// Revision is that of the record of the cancellation, in a message of KindCancelled; 0: the sender is
+	// of an earlier version.
+	Revision uint64 `msgpack:"r,omitempty"`
 }
 
 // LookupReply carries the record of a job; nil if the leader has no record of it.
--- a/process/jobstore/load.go
+++ b/process/jobstore/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -19,13 +20,19 @@
 // Inbox contains what entries have written since the previous read.
 type Inbox struct {
 	Jobs    []StoredJob
-	Cancels []string // job ids
+	Cancels []CancelRecord
 	// Unreadable are the keys of the jobs that cannot be decoded.
 	Unreadable []string
 	// Revision is the store's revision after which the next read continues.
 	Revision uint64
 }
 
+// CancelRecord is a recorded cancellation. Revision is that of its key.
+type CancelRecord struct {
+	ID       string
+	Revision uint64
+}
+
 // Load reads all jobs and records the revisions of their keys. It skips records that
 // cannot be decoded and returns their keys in unreadable.
 func (w *Writer) Load(ctx context.Context) (jobs []LoadedJob, revision uint64, unreadable []string, err error) {
@@ -64,10 +71,9 @@
 	if err != nil {
 		return nil, 0, nil, err
 	}
-	cancelled := map[string]bool{}
 	for _, kv := range items {
 		if id, isCancel := strings.CutPrefix(kv.Key, cancelPrefix); isCancel {
-			cancelled[id] = true
+			w.RecordCancellation(id, kv.Revision)
 		}
 	}
 	for _, kv := range items {
@@ -84,10 +90,7 @@
 			continue
 		}
 		w.RecordJobRevision(stored.ID, kv.Revision)
-		if cancelled[stored.ID] {
-			w.recordCancellation(stored.ID)
-		}
-		jobs = append(jobs, LoadedJob{StoredJob: stored, Cancelled: cancelled[stored.ID]})
+		jobs = append(jobs, LoadedJob{StoredJob: stored, Cancelled: w.Cancelled(stored.ID)})
 	}
 	return jobs, revision, unreadable, nil
 }
@@ -101,12 +104,17 @@
 	}
 	in := Inbox{Revision: next}
 	for _, c := range changes {
-		if c.Deleted {
+		id, isCancel := strings.CutPrefix(c.Key, cancelPrefix)
+		switch {
+		case c.Deleted && isCancel:
+			w.dropCancellation(id)
+			in.Cancels = slices.DeleteFunc(in.Cancels, func(r CancelRecord) bool { return r.ID == id }) // the job has ended
+			continue
+		case c.Deleted:
 			w.dropRefusal(strings.TrimPrefix(c.Key, jobPrefix))
 			continue
-		}
-		if id, isCancel := strings.CutPrefix(c.Key, cancelPrefix); isCancel {
-			in.Cancels = append(in.Cancels, id)
+		case isCancel:
+			in.Cancels = append(in.Cancels, CancelRecord{ID: id, Revision: c.Revision})
 			continue
 		}
 		stored, err := decodeStored(c.KV)
--- a/process/jobstore/writer.go
+++ b/process/jobstore/writer.go
@@ -31,11 +31,12 @@
 	refusals map[string]refusal // by id of the job, at most maxRefusals
 }
 
-// revisions are the revisions of the keys of one job; 0 or false: the key does not exist.
-type revisions struct {
-	job, progress uint64
-	cancel        bool
-}
+// revisions are the revisions of the keys of one job; 0: the key does not exist.
+type revisions struct{ job, progress, cancel uint64 }
+
+// cancelled reports whether the record of the job is cancelled: a cancellation concerns the record that was
+// under the ID when it was written, and none that has replaced it.
+func (r *revisions) cancelled() bool { return r.cancel > r.job }
 
 func NewWriter(store platform.Store, fence Fence) *Writer {
 	return &Writer{
@@ -54,8 +55,36 @@
 	return newer
 }
 
-// RecordCancellation records that the store contains a cancellation of the job.
-func (w *Writer) RecordCancellation(id string) { w.recordCancellation(id) }
+// RecordCancellation records that the store contains a cancellation of a job with a revision, and reports
+// whether it concerns the record that is known. That may still be unknown, see Cancelled.
+func (w *Writer) RecordCancellation(id string, revision uint64) (applies bool) {
+	w.updateRevisions(id, func(r *revisions) {
+		r.cancel = max(r.cancel, revision)
+		applies = r.cancelled()
+	})
+	return applies
+}
+
+// Cancelled reports whether the store is known to contain a cancellation of the job's record.
+func (w *Writer) Cancelled(id string) bool {
+	revs := w.revisionsOf(id)
+	return revs.cancelled()
+}
+
+// dropCancellation records that the cancellation of a job was deleted.
+func (w *Writer) dropCancellation(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r, known := w.revs[id]
+	if !known {
+		return
+	}
+	if r.cancel = 0; r == (revisions{}) {
+		delete(w.revs, id)
+		return
+	}
+	w.revs[id] = r
+}
 
 func (w *Writer) updateRevisions(id string, f func(*revisions)) {
 	w.mu.Lock()
@@ -65,10 +94,6 @@
 	w.revs[id] = r
 }
 
-func (w *Writer) recordCancellation(id string) {
-	w.updateRevisions(id, func(r *revisions) { r.cancel = true })
-}
-
 func (w *Writer) recordProgressRevision(id string, revision uint64) {
 	w.updateRevisions(id, func(r *revisions) { r.progress = revision })
 }
@@ -140,7 +165,7 @@
 		t.Expect = append(t.Expect, platform.Expectation{Key: progressKey(r.ID), Revision: revs.progress})
 		t.Deletes = append(t.Deletes, progressKey(r.ID))
 	}
-	if revs.cancel {
+	if revs.cancel != 0 {
 		t.Deletes = append(t.Deletes, cancelKey(r.ID))
 	}
 	return nil
@@ -215,15 +240,24 @@
 	}
 }
 
-// Purge deletes records of ended jobs. It fails with platform.ErrConflict if another term
-// has begun.
+// Purge deletes records of ended jobs, and cancellations of them that were not known when the end was
+// written. It fails with platform.ErrConflict if another term has begun.
 func (w *Writer) Purge(ctx context.Context, ids []string) error {
-	t := platform.Txn{Expect: []platform.Expectation{{Key: w.fence.Key, Revision: w.fence.Revision}}}
+	var jobs, cancellations []string
 	for _, id := range ids {
-		t.Deletes = append(t.Deletes, jobKey(id))
+		jobs = append(jobs, jobKey(id))
+		if w.revisionsOf(id).cancel != 0 {
+			cancellations = append(cancellations, cancelKey(id))
+		}
 	}
-	if _, err := w.store.Commit(ctx, t); err != nil {
-		return err
+	for _, keys := range [][]string{cancellations, jobs} {
+		if len(keys) == 0 {
+			continue
+		}
+		t := platform.Txn{Expect: []platform.Expectation{{Key: w.fence.Key, Revision: w.fence.Revision}}, Deletes: keys}
+		if _, err := w.store.Commit(ctx, t); err != nil {
+			return err
+		}
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/process/lead/acknowledge.go
+++ b/process/lead/acknowledge.go
@@ -107,10 +107,10 @@
 	}
 	n.cfg.Log.Emit(event.JobCancelRequested, "job", id, "source", "caller")
 	if l := n.loadedTerm(); l != nil {
-		l.cancel(id, "caller")
+		l.cancel(id, c.Revision, "caller")
 		l.dispatch()
 	} else {
-		n.notifyLeader(cancelledKey(id), message.KindCancelled, &message.JobRef{Job: id})
+		n.notifyLeader(cancelledKey(id), message.KindCancelled, &message.JobRef{Job: id, Revision: c.Revision})
 	}
 	return n.awaitInformed(ctx)
 }
--- a/process/lead/cancellations_test.go
+++ b/process/lead/cancellations_test.go
@@ -180,7 +180,7 @@
 	require.True(t, ordered)
 	r.cut.off.Store(true)
 	r.advance(testCancelBound, false)
-	r.l.cancel("j1", "caller")
+	r.l.cancel("j1", 1<<40, "caller")
 	r.l.dispatch()
 	require.Eventually(t, func() bool {
 		select {
@@ -199,7 +199,7 @@
 	r.advance(testCancelBound, false)
 	_, ordered := r.ordersStart()
 	require.False(t, ordered)
-	r.l.cancel("j1", "store")
+	r.l.cancel("j1", 1<<40, "store")
 	r.cut.off.Store(false)
 	r.advance(time.Millisecond, false)
 	o, ordered := r.ordersStart()
--- a/process/lead/handle.go
+++ b/process/lead/handle.go
@@ -120,7 +120,7 @@
 	switch l := n.ownTerm.Load(); {
 	case l == nil: // the entry repeats the notice
 	case l.loaded.Load():
-		l.cancel(c.Job, "entry")
+		l.cancelNoticed(c, "entry")
 		l.dispatch()
 	default:
 		// The entry's next stamp tells that the notice has arrived, so it is kept until the jobs are loaded.
--- a/process/lead/inbox.go
+++ b/process/lead/inbox.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/jobstore"
 	"camphorhead.example/camphorhead/process/metrics"
@@ -33,8 +34,8 @@
 	for i := range in.Jobs {
 		l.accept(&in.Jobs[i], "store")
 	}
-	for _, id := range in.Cancels {
-		l.cancel(id, "store")
+	for _, c := range in.Cancels {
+		l.cancel(c.ID, c.Revision, "store")
 	}
 	l.mu.Lock()
 	l.mu.inboxRevision = max(l.mu.inboxRevision, in.Revision)
@@ -66,10 +67,7 @@
 		if j.Ended() {
 			continue
 		}
-		in.Jobs = append(in.Jobs, j.StoredJob)
-		if j.Cancelled {
-			in.Cancels = append(in.Cancels, j.Definition.ID)
-		}
+		in.Jobs = append(in.Jobs, j.StoredJob) // accept finds out which are cancelled
 	}
 	return in, nil
 }
@@ -85,12 +83,30 @@
 	if l.table.Accept(l.node.cfg.Clock.Now(), s.Definition, s.Term, newer) {
 		l.node.cfg.Log.Emit(event.JobQueued, "job", s.Definition.ID, "profile", s.Definition.Profile,
 			"tasks", taskCount(s.Definition), "source", source)
+		if l.writer.Cancelled(s.Definition.ID) {
+			l.applyCancel(s.Definition.ID, source) // the cancellation has overtaken the job
+		}
+	}
+}
+
+// cancel applies a cancellation that the store contains with a revision; source as for accept. One of an
+// earlier job under the ID changes nothing.
+func (l *leaderTerm) cancel(id string, revision uint64, source string) {
+	if l.writer.RecordCancellation(id, revision) {
+		l.applyCancel(id, source)
+	}
+}
+
+// cancelNoticed applies a cancellation of which an entry has notified this leader.
+func (l *leaderTerm) cancelNoticed(c *message.JobRef, source string) {
+	if c.Revision == 0 {
+		l.applyCancel(c.Job, source)
+		return
 	}
+	l.cancel(c.Job, c.Revision, source)
 }
 
-// cancel applies a cancellation that is recorded in the store already; source as for accept.
-func (l *leaderTerm) cancel(id, source string) {
-	l.writer.RecordCancellation(id)
+func (l *leaderTerm) applyCancel(id, source string) {
 	if l.table.Cancel(l.node.cfg.Clock.Now(), id) {
 		l.node.cfg.Log.Emit(event.JobCancelRequested, "job", id, "source", source)
 	}
--- a/process/lead/node.go
+++ b/process/lead/node.go
@@ -244,7 +244,7 @@
 		case *message.Submitted:
 			l.accept(storedJob(body), "caller")
 		case *message.JobRef:
-			l.cancel(body.Job, "caller")
+			l.cancelNoticed(body, "caller")
 		}
 	}
 }
--- a/process/lead/sessions_test.go
+++ b/process/lead/sessions_test.go
@@ -67,7 +67,12 @@
 // newSchedulingLeader returns the term of a leader that may order runs at testAgent.
 func newSchedulingLeader(t *testing.T) *leaderTerm {
 	t.Helper()
-	n := listen(t, newProcess(t, "entry", newMemoryStore(t), clockwork.NewFakeClockAt(time.Now())))
+	return newSchedulingLeaderAt(t, newMemoryStore(t), clockwork.NewFakeClockAt(time.Now()))
+}
+
+func newSchedulingLeaderAt(t *testing.T, store *memoryStore, clock *clockwork.FakeClock) *leaderTerm {
+	t.Helper()
+	n := listen(t, newProcess(t, "entry", store, clock))
 	n.cfg.Profile = func(string) (profile.Profile, bool) { return profile.Profile{Service: "s", MaxAttempts: 3}, true }
 	n.cfg.Teams = func() map[string]profile.Team { return nil }
 	l := claimTerm(t, n)
--- a/process/lead/states.go
+++ b/process/lead/states.go
@@ -39,10 +39,13 @@
 	}
 }
 
+// get returns the state of a job. A final state is not known any more after the retention: the record may
+// have been deleted, and the ID handed in anew.
 func (s *stateCache) get(id string) (job.State, bool) {
+	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if k := s.jobs[id]; k != nil {
+	if k := s.jobs[id]; k != nil && !(k.state.Terminal() && now.Sub(k.at) >= s.retention) {
 		return k.state, true
 	}
 	return "", false
@@ -65,7 +68,7 @@
 		s.order = append(s.order, k)
 		return
 	}
-	if k.state.Terminal() || state == job.Accepted {
+	if k.state.Terminal() && now.Sub(k.at) < s.retention || !k.state.Terminal() && state == job.Accepted {
 		return
 	}
 	k.state, k.at = state, now
