process/lead: followers know the store's revision in all deployments

A job that is submitted after the cancellation of its ID replaces the refusal record only at an entry that knows a later revision of the store.

--- a/connection/message/runs.go
+++ b/connection/message/runs.go
@@ -230,6 +230,9 @@
 	// EarlierLeader is set while the leader of the previous term, which this one has never followed, may
 	// still order starts. Cancellations are not acknowledged meanwhile.
 	EarlierLeader bool `msgpack:"el,omitempty"`
+	// StoreRevision is a revision that the store had reached when this was sent; 0: not known. A job that
+	// is submitted after its arrival is not one from before a refusal record with a lower revision.
+	StoreRevision uint64 `msgpack:"sr,omitempty"`
 }
 
 // Following tells the leader that an entry has begun no newer term when it sent this. Stamp is
--- a/process/lead/commits.go
+++ b/process/lead/commits.go
@@ -130,6 +130,7 @@
 		l.table.SetRegistered(*pending.agents)
 	}
 	l.heartbeat.Store(pending.heartbeat)
+	l.node.admissions.observeRevision(pending.batch.RevisionOf(term.HeartbeatKey))
 	l.mu.Lock()
 	outage := time.Duration(0)
 	if !l.mu.failingSince.IsZero() {
--- a/process/lead/followers.go
+++ b/process/lead/followers.go
@@ -70,15 +70,20 @@
 	if b == nil {
 		return nil
 	}
+	return &message.Backlog{Delays: b.Delays, Revision: l.storeRevision()}
+}
+
+// storeRevision returns the newest revision of the store that this leader has seen.
+func (l *leaderTerm) storeRevision() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return &message.Backlog{Delays: b.Delays, Revision: max(l.mu.heartbeatRevision, l.mu.inboxRevision)}
+	return max(l.mu.heartbeatRevision, l.mu.inboxRevision)
 }
 
 func (l *leaderTerm) newUpdate() message.Update {
 	return message.Update{
 		Term: l.number, Heartbeat: l.heartbeat.Load(), Degraded: l.degraded.Load(), Loading: !l.loaded.Load(),
-		Config: l.node.cfg.ConfigState(), EarlierLeader: l.earlierLeaderMayAct(l.node.cfg.Clock.Now()),
+		Config: l.node.cfg.ConfigState(), EarlierLeader: l.earlierLeaderMayAct(l.node.cfg.Clock.Now()), StoreRevision: l.storeRevision(),
 	}
 }
 
--- a/process/lead/leader_conn.go
+++ b/process/lead/leader_conn.go
@@ -244,6 +244,7 @@
 	}
 	if followed {
 		n.admissions.applyBacklog(u.Backlog)
+		n.admissions.observeRevision(u.StoreRevision)
 	}
 	n.states.apply(u.Jobs, u.Waiting)
 	n.notifyAgentsChanged(u.Agents, u.RemovedAgents, u.AllAgents)
--- a/process/lead/unknown_cancels_test.go
+++ b/process/lead/unknown_cancels_test.go
@@ -75,6 +75,20 @@
 	require.Equal(t, outcome.NoLeader, kindOfError(err), "no entry leads")
 }
 
+// Guards against a client that hands an ID in anew and is refused by one entry after the other, because none
+// of them knows that the submission has arrived after the cancellation.
+func TestFollowersKnowTheStoreRevision(t *testing.T) {
+	r := newCancelRig(t)
+	_, err := newProcess(t, "three", r.store, r.clock).Cancel(t.Context(), "j")
+	require.NoError(t, err)
+	r.l.write(t.Context())
+	r.advance(time.Millisecond, true)
+	for _, n := range []*Node{r.l.node, r.follower} {
+		_, _, err = n.Create(t.Context(), testJob("j"))
+		require.NoError(t, err, n.cfg.Self().ID)
+	}
+}
+
 // Guards against cancellations of unknown jobs that fill the store and its limit of writes, and against an
 // answer that none exists without a record that keeps it so.
 func TestCancelsOfUnknownJobsAreBounded(t *testing.T) {
