--- a/process/jobstore/jobs.go
+++ b/process/jobstore/jobs.go
@@ -90,9 +90,11 @@
 // job, it may be created late by a submission that has had no response, so Cancel records its refusal; admit
 // is called before that, and an error of it is returned. Each record is written on condition that the key
 // of the job is as it was read: a cancellation that is executed late concerns no job that was handed in anew
-// under the ID. After platform.ErrUncertain the record may exist or appear later; after
+// under the ID. That of a cancellation also expects the term at the revision that the entry knows, so that
+// each later leader finds it as it loads the jobs; the error is ErrFenced, and nothing is written, if another
+// term has begun. After platform.ErrUncertain the record may exist or appear later; after
 // platform.ErrUnavailable it does not.
-func (s *Jobs) Cancel(ctx context.Context, id string, at time.Time, admit func() error) (c Cancellation, err error) {
+func (s *Jobs) Cancel(ctx context.Context, id string, newest Fence, at time.Time, admit func() error) (c Cancellation, err error) {
 	for range maxRefuseAttempts {
 		kv, err := s.store.Read(ctx, jobKey(id))
 		if err != nil {
@@ -100,22 +102,27 @@
 		}
 		_, refused := parseRefusal(kv.Value)
 		c = Cancellation{Found: kv.Revision != 0 && !refused}
-		put := platform.Put{Key: cancelKey(id), Value: []byte{}}
+		t := platform.Txn{
+			Expect: []platform.Expectation{{Key: jobKey(id), Revision: kv.Revision}, {Key: newest.Key, Revision: newest.Revision}},
+			Puts:   []platform.Put{{Key: cancelKey(id), Value: []byte{}}},
+		}
 		if !c.Found {
 			if err := admit(); err != nil {
 				return Cancellation{}, err
 			}
 			// An earlier refusal is written again, as in Refuse.
-			put = platform.Put{Key: jobKey(id), Value: refusalAt(at)}
+			t.Expect, t.Puts = t.Expect[:1], []platform.Put{{Key: jobKey(id), Value: refusalAt(at)}}
 		} else if c.Job, err = decodeStored(kv); err != nil || c.Job.Ended() {
 			return c, err
 		}
-		c.Revision, err = s.store.Commit(ctx, platform.Txn{
-			Expect: []platform.Expectation{{Key: jobKey(id), Revision: kv.Revision}}, Puts: []platform.Put{put},
-		})
-		if !errors.Is(err, platform.ErrConflict) {
+		c.Revision, err = s.store.Commit(ctx, t)
+		var conflict *platform.ConflictError
+		if !errors.As(err, &conflict) {
 			return c, err
 		}
+		if len(conflict.Items) == 2 && conflict.Items[1].Revision != newest.Revision {
+			return Cancellation{}, ErrFenced
+		}
 	}
 	return Cancellation{}, platform.ErrUnavailable
 }
--- a/process/jobstore/load.go
+++ b/process/jobstore/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"time"
 
@@ -104,16 +103,13 @@
 	}
 	in := Inbox{Revision: next}
 	for _, c := range changes {
-		id, isCancel := strings.CutPrefix(c.Key, cancelPrefix)
-		switch {
-		case c.Deleted && isCancel:
-			w.dropCancellation(id)
-			in.Cancels = slices.DeleteFunc(in.Cancels, func(r CancelRecord) bool { return r.ID == id }) // the job has ended
-			continue
-		case c.Deleted:
+		if c.Deleted {
 			w.dropRefusal(strings.TrimPrefix(c.Key, jobPrefix))
 			continue
-		case isCancel:
+		}
+		// Also one that was deleted afterwards: if not this leader but the next one has ended the job, its
+		// tasks must not start here.
+		if id, isCancel := strings.CutPrefix(c.Key, cancelPrefix); isCancel {
 			in.Cancels = append(in.Cancels, CancelRecord{ID: id, Revision: c.Revision})
 			continue
 		}
--- a/process/jobstore/writer.go
+++ b/process/jobstore/writer.go
@@ -71,21 +71,6 @@
 	return revs.cancelled()
 }
 
-// dropCancellation records that the cancellation of a job was deleted.
-func (w *Writer) dropCancellation(id string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	r, known := w.revs[id]
-	if !known {
-		return
-	}
-	if r.cancel = 0; r == (revisions{}) {
-		delete(w.revs, id)
-		return
-	}
-	w.revs[id] = r
-}
-
 func (w *Writer) updateRevisions(id string, f func(*revisions)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -104,6 +89,9 @@
 	return w.revs[id]
 }
 
+// Fence returns the fence of the writer's term.
+func (w *Writer) Fence() Fence { return w.fence }
+
 // Batch is one transaction with the records that it makes durable.
 type Batch struct {
 	Records []schedule.Record
--- a/process/lead/acknowledge.go
+++ b/process/lead/acknowledge.go
@@ -11,6 +11,7 @@
 	"camphorhead.example/camphorhead/process/event"
 	"camphorhead.example/camphorhead/process/jobstore"
 	"camphorhead.example/camphorhead/process/platform"
+	"camphorhead.example/camphorhead/process/term"
 	"camphorhead.example/camphorhead/request/outcome"
 )
 
@@ -41,7 +42,7 @@
 	uncertain := false
 	err = n.callStore(ctx, func(ctx context.Context) error {
 		var err error
-		c, err = n.jobs.Cancel(ctx, id, n.cfg.Clock.Now(), n.admitUnknownCancel)
+		c, err = n.recordCancellation(ctx, id)
 		uncertain = uncertain || errors.Is(err, platform.ErrUncertain)
 		return err
 	})
@@ -56,6 +57,24 @@
 	return known, err
 }
 
+// maxStaleTerms bounds the attempts of one cancellation that meet a term of which this entry did not know.
+const maxStaleTerms = 3
+
+// recordCancellation records a cancellation while this entry knows the newest term.
+func (n *Node) recordCancellation(ctx context.Context, id string) (c jobstore.Cancellation, err error) {
+	for range maxStaleTerms {
+		n.mu.Lock()
+		newest := jobstore.Fence{Key: term.Key, Revision: n.elector.View().Revision}
+		n.mu.Unlock()
+		c, err = n.jobs.Cancel(ctx, id, newest, n.cfg.Clock.Now(), n.admitUnknownCancel)
+		if !errors.Is(err, jobstore.ErrFenced) {
+			return c, err
+		}
+		n.readTerm(ctx)
+	}
+	return jobstore.Cancellation{}, platform.ErrUnavailable
+}
+
 // Exclude records that a job which does not exist was cancelled: no submission that arrived before creates
 // it. excluded is false if the job exists. The errors are those of Cancel.
 func (n *Node) Exclude(ctx context.Context, id string) (excluded bool, err error) {
@@ -150,24 +169,22 @@
 	}
 }
 
-// leaderInformed reports whether the leader of the newest term waits for this entry before it takes it that
-// it has all cancellations, see leaderTerm.cancellationsKnownAt. expected is set if that will soon be so.
-// A leader itself must have had its term confirmed by the store: another one may have begun since.
+// leaderInformed reports whether the leader of the newest term that this entry knows waits for this entry
+// before it takes it that it has all cancellations, see leaderTerm.cancellationsKnownAt. expected is set if
+// that will soon be so. Later leaders find the cancellation in the store, see Jobs.Cancel.
 func (n *Node) leaderInformed(now time.Time) (informed, expected bool) {
-	limit := n.cfg.Timing.uninformedLimit()
+	n.mu.Lock()
+	c, newest, followed := n.leader, n.elector.Term(), n.elector.Followed()
+	n.mu.Unlock()
 	if l := n.ownTerm.Load(); l != nil {
-		l.mu.Lock()
-		confirmedAt := l.mu.validUntil.Add(-n.cfg.Timing.Outage)
-		l.mu.Unlock()
-		return now.Sub(confirmedAt) < limit && !l.earlierLeaderMayAct(now), true
+		return l.number == newest && !l.earlierLeaderMayAct(now), true
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	c := n.leader
-	if c == nil || c.term != n.elector.Term() || !n.elector.Followed() {
+	if c == nil || c.term != newest || !followed {
 		return false, true
 	}
-	recent := now.Sub(c.receivedAt) < limit
+	recent := now.Sub(c.receivedAt) < n.cfg.Timing.uninformedLimit()
 	return recent && !c.earlierLeader, recent
 }
 
--- a/process/lead/cancellations.go
+++ b/process/lead/cancellations.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"camphorhead.example/camphorhead/connection/message"
 	"camphorhead.example/camphorhead/connection/peer"
 	"camphorhead.example/camphorhead/process/event"
 )
@@ -19,34 +20,53 @@
 
 func (t *Timing) uninformedLimit() time.Duration { return uninformedTimeouts * t.LeaderTimeout }
 
-// acknowledger is an entry that may have acknowledged cancellations of which the leader does not know,
-// because it follows, or has followed, in this term.
+// entryProcess identifies a process of an entry.
+type entryProcess struct {
+	id        string
+	startedMs int64
+}
+
+func processOf(e *message.EntryInfo) entryProcess { return entryProcess{e.ID, e.StartedMs} }
+
+// acknowledger is a process of an entry that may have acknowledged cancellations of which the leader does
+// not know, because it follows, or has followed, in this term. The next process of the entry cannot tell
+// what notices were lost with it.
 type acknowledger struct {
-	followedAt time.Time // as of candidate; all cancellations that the entry acknowledged before have arrived
+	followedAt time.Time // as of candidate; all cancellations that the process acknowledged before have arrived
 	contactAt  time.Time // when the leader last had an open connection to it
+	endedAt    time.Time // when the next process of the entry followed; zero: none has
 }
 
-// recordAcknowledger registers an entry before it is told that it follows.
-func (l *leaderTerm) recordAcknowledger(id string) {
+// recordAcknowledger registers a process of an entry before it is told that it follows.
+func (l *leaderTerm) recordAcknowledger(e *message.EntryInfo) {
+	now := l.node.cfg.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a := l.mu.acknowledgers[id]
-	a.contactAt = l.node.cfg.Clock.Now()
-	l.mu.acknowledgers[id] = a
+	process := processOf(e)
+	for p, a := range l.mu.acknowledgers {
+		if p.id == process.id && p.startedMs < process.startedMs && a.endedAt.IsZero() {
+			a.endedAt = now
+			l.mu.acknowledgers[p] = a
+		}
+	}
+	a := l.mu.acknowledgers[process]
+	a.contactAt = now
+	l.mu.acknowledgers[process] = a
 }
 
 // recordInboxRead records a complete read of the inbox that began at a time: it has returned all that was
-// acknowledged before. An entry to which there has been no connection for so long that it acknowledges
-// nothing any more is not waited for until it follows again.
+// acknowledged before. A process that had ended by then is not waited for any more, nor one to which there
+// has been no connection for so long that it acknowledges nothing until it follows again.
 func (l *leaderTerm) recordInboxRead(began time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if began.After(l.mu.inboxKnownAt) {
 		l.mu.inboxKnownAt = began
 	}
-	for id, a := range l.mu.acknowledgers {
-		if began.Sub(a.contactAt) >= l.node.cfg.Timing.uninformedLimit()*21/20 { // clock rates differ by up to 4%
-			delete(l.mu.acknowledgers, id)
+	for p, a := range l.mu.acknowledgers {
+		lost := began.Sub(a.contactAt) >= l.node.cfg.Timing.uninformedLimit()*21/20 // clock rates differ by up to 4%
+		if lost || !a.endedAt.IsZero() && !began.Before(a.endedAt) {
+			delete(l.mu.acknowledgers, p)
 		}
 	}
 }
@@ -54,27 +74,23 @@
 // recordContacts notes the entries with an open connection. The caller holds mu.
 func (l *leaderTerm) recordContacts(now time.Time) {
 	for c, f := range l.mu.followers {
-		if a, ok := l.mu.acknowledgers[f.Entry.ID]; ok && !c.Closed() {
+		if a, ok := l.mu.acknowledgers[processOf(&f.Entry)]; ok && !c.Closed() {
 			a.contactAt = now
-			l.mu.acknowledgers[f.Entry.ID] = a
+			l.mu.acknowledgers[processOf(&f.Entry)] = a
 		}
 	}
 }
 
 // cancellationsKnownAt returns the latest time for which this leader has all cancellations that were
-// acknowledged before it: the start of the latest read of the inbox, or the time at which all entries
-// that may acknowledge any still followed. The latter goes on while the store serves nobody. It counts
-// only after a read of the inbox that began when each entry which the store served had learned of this
-// term: until then entries may act for the leader of an earlier one.
+// acknowledged before it: the start of the latest read of the inbox, or the time at which all entries that
+// may acknowledge any still followed it. The latter goes on while the store serves nobody. What entries have
+// acknowledged as followers of an earlier leader was recorded before this term began, see Jobs.Cancel, and so
+// was among what this leader has loaded.
 func (l *leaderTerm) cancellationsKnownAt(now time.Time) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.recordContacts(now)
-	known := l.mu.inboxKnownAt
-	if known.Sub(l.begun) < l.node.cfg.Timing.uninformedLimit() {
-		return known
-	}
-	followed := now
+	known, followed := l.mu.inboxKnownAt, now
 	for _, a := range l.mu.acknowledgers {
 		if a.followedAt.Before(followed) {
 			followed = a.followedAt
@@ -122,9 +138,9 @@
 // recordFollowed records that the follower on a connection had acknowledged no cancellation without
 // notifying this leader when it received a stamp. The caller holds mu and has checked the time.
 func (l *leaderTerm) recordFollowed(conn *peer.Conn, at time.Time) {
-	id := l.mu.followers[conn].Entry.ID
-	if a, ok := l.mu.acknowledgers[id]; ok && at.After(a.followedAt) {
+	process := processOf(&l.mu.followers[conn].Entry)
+	if a, ok := l.mu.acknowledgers[process]; ok && at.After(a.followedAt) {
 		a.followedAt = at
-		l.mu.acknowledgers[id] = a
+		l.mu.acknowledgers[process] = a
 	}
 }
--- a/process/lead/claim.go
+++ b/process/lead/claim.go
@@ -36,7 +36,8 @@
 	n.beginTerm(ctx, view, next, followed, began)
 }
 
-// readTerm reads the term from the store and adjusts the claim delay to the store's latency.
+// readTerm reads the term from the store, adjusts the claim delay to the store's latency, and ends an older
+// term that is led here.
 func (n *Node) readTerm(ctx context.Context) {
 	began := n.cfg.Clock.Now()
 	view, err := term.Read(ctx, n.cfg.Store)
@@ -64,6 +65,9 @@
 	case view.Term > previous.Term:
 		n.logLeader(view, "store")
 	}
+	if l := n.ownTerm.Load(); err == nil && l != nil && l.number < view.Term {
+		n.stepDown(l, "another entry has begun a term")
+	}
 }
 
 func (n *Node) logLeader(view term.View, source string) {
--- a/process/lead/handle.go
+++ b/process/lead/handle.go
@@ -75,7 +75,7 @@
 	// Before the reply, from which on the entry may claim the next term after a timeout, and acknowledges
 	// cancellations as a follower.
 	l.addCandidate(f)
-	l.recordAcknowledger(f.Entry.ID)
+	l.recordAcknowledger(&f.Entry)
 	r.Reply(message.FollowReply{Term: l.number, Leading: true})
 	n.mu.Lock()
 	n.knownEntries[f.Entry.ID] = f.Entry
--- a/process/lead/leader_term.go
+++ b/process/lead/leader_term.go
@@ -76,9 +76,9 @@
 	// candidates are the entries that may claim the next term, by id. They stay when their
 	// connection closes.
 	candidates     map[string]candidate
-	acknowledgers  map[string]acknowledger // by id of the entry
-	entriesVersion uint64                  // number of changes of the followers
-	entriesSent    map[string]uint64       // entriesVersion last sent to each agent, by id
+	acknowledgers  map[entryProcess]acknowledger
+	entriesVersion uint64            // number of changes of the followers
+	entriesSent    map[string]uint64 // entriesVersion last sent to each agent, by id
 	// validUntil is when the right to grant leases expires: Timing.Outage after the start of
 	// the last confirmed transaction, or of the term.
 	validUntil        time.Time
@@ -138,7 +138,7 @@
 	l.mu.Mutex = lockrank.NewMutex(lockrank.RankSessions)
 	l.mu.sessions, l.mu.followers = map[string]agentSession{}, map[*peer.Conn]*follower{}
 	l.mu.candidates, l.mu.entriesSent = map[string]candidate{}, map[string]uint64{}
-	l.mu.acknowledgers = map[string]acknowledger{}
+	l.mu.acknowledgers = map[entryProcess]acknowledger{}
 	l.mu.previous = previous
 	l.mu.heartbeatRevision = view.HeartbeatRevision
 	l.heartbeat.Store(view.Heartbeat.Number)
