--- a/process/lead/cancellations.go
+++ b/process/lead/known_cancellations.go
@@ -13,13 +13,6 @@
 // Timing.CancelBound orders no starts: see cancellationsKnownAt and schedule.RecordCancellationsKnown.
 // docs/notes/cancellations.md lists who may act when something is learned late, and until when.
 
-// uninformedTimeouts is the time, in units of Timing.LeaderTimeout, for which an entry may acknowledge
-// cancellations after it last heard of the leader that it follows, or a leader after the store last
-// confirmed its term. An entry that the store serves learns of a newer term within it.
-const uninformedTimeouts = 2
-
-func (t *Timing) uninformedLimit() time.Duration { return uninformedTimeouts * t.LeaderTimeout }
-
 // entryProcess identifies a process of an entry.
 type entryProcess struct {
 	id        string
