--- a/process/runs/calls.go
+++ b/process/runs/calls.go
@@ -187,8 +187,8 @@
 }
 
 // startObsolete reports whether the start of an unconfirmed run must no longer be sent: it is to
-// stop, its order is too old, the job may have been cancelled for too long, or another worker instance has taken the place of the one by whose
-// capacity it was admitted.
+// stop, its order is too old, the job may have been cancelled too long ago, or another worker instance
+// has taken the place of the one by whose capacity it was admitted.
 func (n *Node) startObsolete(r *run) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
