process/jobstore: a cancellation that was deleted with its job's end is not deleted again

The leader finds each cancellation in the inbox once more after its notice, and by then has often deleted its key along with the end of the job. The writer now keeps which cancellation it has deleted.

TestDeletedCancellationIsNotPurgedAgain fails before and passes.

--- a/process/jobstore/writer.go
+++ b/process/jobstore/writer.go
@@ -31,8 +31,9 @@
 	refusals map[string]refusal // by id of the job, at most maxRefusals
 }
 
-// revisions are the revisions of the keys of one job; 0: the key does not exist.
-type revisions struct{ job, progress, cancel uint64 }
+// revisions are the revisions of the keys of one job; 0: the key does not exist. deletedCancel is that of
+// the cancellation that was deleted with the end of the job; 0: none was.
+type revisions struct{ job, progress, cancel, deletedCancel uint64 }
 
 // cancelled reports whether the record of the job is cancelled: a cancellation concerns the record that was
 // under the ID when it was written, and none that has replaced it.
@@ -59,7 +60,9 @@
 // whether it concerns the record that is known. That may still be unknown, see Cancelled.
 func (w *Writer) RecordCancellation(id string, revision uint64) (applies bool) {
 	w.updateRevisions(id, func(r *revisions) {
-		r.cancel = max(r.cancel, revision)
+		if revision > r.deletedCancel {
+			r.cancel = max(r.cancel, revision)
+		}
 		applies = r.cancelled()
 	})
 	return applies
@@ -220,7 +223,7 @@
 	for _, r := range b.Records {
 		revs := w.revs[r.ID]
 		if r.State.Terminal() {
-			revs = revisions{job: revisionOf(jobKey(r.ID))}
+			revs = revisions{job: revisionOf(jobKey(r.ID)), deletedCancel: revs.cancel}
 		} else {
 			revs.progress = revisionOf(progressKey(r.ID))
 		}
--- a/process/lead/replaced_jobs_test.go
+++ b/process/lead/replaced_jobs_test.go
@@ -93,6 +93,22 @@
 	require.NotContains(t, store.items, "in/job/j")
 }
 
+// Guards against a write for each cancelled job that deletes a key again: the leader finds the cancellation in
+// the inbox once more after it has deleted it with the job's end.
+func TestDeletedCancellationIsNotPurgedAgain(t *testing.T) {
+	l := newSchedulingLeader(t)
+	l.accept(storeJob(t, l.node, "j"), "store")
+	c := cancelAtStore(t, l.node, "j")
+	l.cancel("j", c.Revision, "entry")
+	l.transact(t.Context())
+	require.NotContains(t, l.node.cfg.Store.(*memoryStore).items, "in/cancel/j")
+	l.cancel("j", c.Revision, "store")
+	l.node.cfg.Clock.(*clockwork.FakeClock).Advance(testTiming.Retention)
+	before := l.node.cfg.Store.(*memoryStore).revision
+	l.purge(t.Context())
+	require.Equal(t, before+1, l.node.cfg.Store.(*memoryStore).revision, "one transaction deletes the job")
+}
+
 // Guards against a job under the ID of one that has ended and was purged, for which an entry reports the old
 // state and takes no submission or cancellation.
 func TestEntryForgetsFinalStates(t *testing.T) {
