integration: starts go on while the store is down for everybody

Passes; without the followers' word (scratch change of cancellationsKnownAt) it fails: no second step starts within 6.5 s.

--- a/integration/cancellation_test.go
+++ b/integration/cancellation_test.go
@@ -110,3 +110,22 @@
 	require.Positive(t, besideLeader, "no first step ran beside the leader")
 	d.awaitJob("a job after the cut is done", d.submit(other, caller.Job{Input: bodyWithDuration(10*time.Millisecond, "last"), Steps: oneStep(1)}))
 }
+
+// outageStepTime is the duration of the tasks of a job whose second step begins in an outage of the store,
+// later than a leader starts tasks on what it knew of cancellations before the outage.
+const outageStepTime = 3500 * time.Millisecond
+
+// Guards against a leader that starts nothing while the store is down for everybody, since it takes that for
+// its own isolation.
+func TestStartsGoOnWhileTheStoreIsDown(t *testing.T) {
+	t.Parallel()
+	d := deployPlatform(t, withDeployedLeases)
+	steps := append(oneStep(1), oneStep(1)...)
+	steps[1].After = []int{0}
+	s := d.submit(0, caller.Job{Input: bodyWithDuration(outageStepTime, "outage"), Steps: steps})
+	d.eventually(recoveryTimeout, "the first step runs", func() bool { return len(d.startsOf(s)) == 1 })
+	d.setStoreFault("down", "true")
+	d.eventually(outageStepTime+cancelGracePeriod, "the second step starts in the outage", func() bool { return len(d.startsOf(s)) == 2 })
+	d.setStoreFault("down", "false")
+	d.awaitJob("the job is done", s)
+}
